--- /dev/null
+++ b/crates/connection/pool/src/lib.rs
@@ -0,0 +1,3 @@
+//! The `pool` crate of heatherseam; see its README.
+
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/process/base/src/time.rs
@@ -0,0 +1,58 @@
+//! Time as a value that is passed in, so that no decision reads a clock.
+//!
+//! Invariant: a [`Time`] is only ever compared with others of the same process.
+//! What crosses processes is a remaining [`Duration`], never a point in time.
+
+use std::fmt;
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point in time, in microseconds since the process (or the trace) began.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The beginning of the process or trace.
+    pub const ZERO: Self = Self(0);
+    /// A point that is never reached.
+    pub const NEVER: Self = Self(u64::MAX);
+
+    /// The point `ms` milliseconds after the beginning.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * 1000)
+    }
+
+    /// The time that has passed since `earlier`; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub for Time {
+    type Output = Duration;
+
+    fn sub(self, earlier: Self) -> Duration {
+        self.since(earlier)
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}ms", self.0 / 1000, self.0 % 1000)
+    }
+}
--- /dev/null
+++ b/crates/process/node/src/lib.rs
@@ -0,0 +1,3 @@
+//! The `node` crate of heatherseam; see its README.
+
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/process/store/src/lib.rs
@@ -0,0 +1,3 @@
+//! The `store` crate of heatherseam; see its README.
+
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/request/query/src/lib.rs
@@ -0,0 +1,3 @@
+//! The `query` crate of heatherseam; see its README.
+
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/version/conf/src/lib.rs
@@ -0,0 +1,6 @@
+//! What operators decide: configuration objects, their checks, and the
+//! immutable snapshot that a request runs under; and each process's settings.
+
+#![deny(missing_docs)]
+
+pub mod object;
--- /dev/null
+++ b/crates/version/route/src/lib.rs
@@ -0,0 +1,3 @@
+//! The `route` crate of heatherseam; see its README.
+
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/version/trial/src/lib.rs
@@ -0,0 +1,3 @@
+//! The `trial` crate of heatherseam; see its README.
+
+#![deny(missing_docs)]
