--- a/crates/version/conf/src/lib.rs
+++ b/crates/version/conf/src/lib.rs
@@ -3,4 +3,5 @@
 
 #![deny(missing_docs)]
 
+pub mod catalog;
 pub mod object;
