fakes: the stand-in platform and upstream servers

The platform speaks wire::platform and the servers wire::upstream, over hyper, with faults set at run time over HTTP or in-process, and counters. The platform's store has no I/O and keeps its history, so that stale reads show a true past state. A server counts a non-idempotent run when it begins.

--- /dev/null
+++ b/crates/fakes/examples/upstream.rs
@@ -0,0 +1,93 @@
+//! Stand-in upstream servers as a process: prints one JSON line with the
+//! control address and the shard maps, and runs until it is stopped.
+
+use std::io;
+use std::sync::Arc;
+
+use getopts::Matches;
+use getopts::Options;
+
+use fakes::upstream::Fleet;
+use fakes::upstream::Service;
+use fakes::upstream::Settings;
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    let options = options();
+    let given = options.parse(std::env::args().skip(1)).map_err(io::Error::other)?;
+    if given.opt_present("help") {
+        print!("{}", options.usage("upstream [OPTIONS]"));
+        return Ok(());
+    }
+    let fleet = Fleet::start(settings(&given)?)?;
+    let line = serde_json::json!({ "control": fleet.control(), "maps": fleet.maps() });
+    println!("{line}");
+    tokio::signal::ctrl_c().await
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("f", "file", "deployment as JSON; replaces the flags below", "FILE");
+    options.optopt("s", "service", "service name (search)", "NAME");
+    options.optopt("m", "map", "shard map name (NAME-1)", "NAME");
+    options.optopt("g", "groups", "groups, one a shard (3)", "N");
+    options.optopt("r", "replicas", "servers of a group (3)", "N");
+    options.optopt("d", "data-centres", "comma-separated names (a,b,c)", "NAMES");
+    options.optopt("", "slots", "requests that a server runs at once (2)", "N");
+    options.optopt("", "queue", "requests that may wait at a server (8)", "N");
+    options.optopt("", "connections", "connections that a server accepts (25)", "N");
+    options.optopt("", "connect-ms", "cost of a new connection (0)", "MS");
+    options.optopt("", "median-us", "median service time (2000)", "US");
+    options.optopt("", "straggler-share", "0 to 1 (0)", "SHARE");
+    options.optopt("", "straggler-factor", "(10)", "FACTOR");
+    options.optopt("", "base-port", "first server's port; 0 takes any (0)", "PORT");
+    options.optopt("", "control-port", "0 takes any (0)", "PORT");
+    options.optopt("", "seed", "(1)", "N");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+fn settings(given: &Matches) -> io::Result<Settings> {
+    if let Some(file) = given.opt_str("file") {
+        let text = std::fs::read_to_string(file)?;
+        return serde_json::from_str(&text).map_err(io::Error::other);
+    }
+    let usual = Service::default();
+    let name: Arc<str> = given.opt_str("service").map_or(usual.name, Arc::from);
+    let map = given.opt_str("map").unwrap_or_else(|| format!("{name}-1"));
+    let data_centres = match given.opt_str("data-centres") {
+        Some(names) => names.split(',').map(Arc::from).collect(),
+        None => usual.data_centres,
+    };
+    let service = Service {
+        name,
+        map: Arc::from(map),
+        data_centres,
+        groups: number(given, "groups", usual.groups)?,
+        replicas: number(given, "replicas", usual.replicas)?,
+        slots: number(given, "slots", usual.slots)?,
+        queue: number(given, "queue", usual.queue)?,
+        connections: number(given, "connections", usual.connections)?,
+        connect_ms: number(given, "connect-ms", usual.connect_ms)?,
+        median_us: number(given, "median-us", usual.median_us)?,
+        straggler_share: number(given, "straggler-share", usual.straggler_share)?,
+        straggler_factor: number(given, "straggler-factor", usual.straggler_factor)?,
+        ..Service::default()
+    };
+    Ok(Settings {
+        base_port: number(given, "base-port", 0)?,
+        control_port: number(given, "control-port", 0)?,
+        seed: number(given, "seed", 1)?,
+        services: vec![service],
+        ..Settings::default()
+    })
+}
+
+fn number<T: std::str::FromStr>(given: &Matches, name: &str, usual: T) -> io::Result<T>
+where
+    T::Err: std::fmt::Display,
+{
+    given
+        .opt_get_default(name, usual)
+        .map_err(|error| io::Error::other(format!("--{name}: {error}")))
+}
--- /dev/null
+++ b/crates/fakes/src/http.rs
@@ -0,0 +1,93 @@
+//! The little that the stand-ins need of HTTP.
+//!
+//! Invariant: every listener is bound before its address is told, so nobody has
+//! to wait or retry for a stand-in to come up.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+
+/// A body that may fail half-way.
+pub type Body = BoxBody<Bytes, io::Error>;
+/// A whole response.
+pub type Reply = Response<Body>;
+
+/// A body of known bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+}
+
+/// A response with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
+    let Ok(body) = serde_json::to_vec(value) else {
+        return text(StatusCode::INTERNAL_SERVER_ERROR, "the value is no JSON");
+    };
+    let mut reply = Response::new(full(body));
+    *reply.status_mut() = status;
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// A response with a text body.
+pub fn text(status: StatusCode, message: impl Into<String>) -> Reply {
+    let mut reply = Response::new(full(message.into()));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// If the other end leaves before its end.
+pub async fn read(body: Incoming) -> io::Result<Bytes> {
+    let collected = body.collect().await.map_err(io::Error::other)?;
+    Ok(collected.to_bytes())
+}
+
+/// Reads a JSON body; the error is the response that tells what is wrong.
+///
+/// # Errors
+///
+/// A 400 response, if the body is cut or is not the wanted JSON.
+pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<T, Box<Reply>> {
+    let refuse = |message: String| Box::new(text(StatusCode::BAD_REQUEST, message));
+    let bytes = read(body).await.map_err(|error| refuse(error.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|error| refuse(error.to_string()))
+}
+
+/// The value of a query parameter.
+pub fn parameter<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// A numeric query parameter; zero if it is absent or no number.
+pub fn number(uri: &Uri, name: &str) -> u64 {
+    parameter(uri, name).and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+/// Binds a listener; port 0 takes any free one.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,3 +1,10 @@
-//! The `fakes` crate of heatherseam; see its README.
+//! Stand-ins for what lies around the query tier: the platform, the upstream
+//! servers and the callers. Tests start them in-process; the examples of this
+//! crate start them as processes.
 
 #![deny(missing_docs)]
+
+pub mod hits;
+pub mod http;
+pub mod platform;
+pub mod upstream;
