--- /dev/null
+++ b/crates/version/trial/src/interval.rs
@@ -0,0 +1,186 @@
+//! An estimate with its 95% confidence interval.
+//!
+//! Two intervals are joined: one from resampling whole cells (bootstrap), which
+//! sees that the requests of one caller are alike, and for quantiles one from
+//! the ranks of the samples, which sees that too few lie beyond a quantile to
+//! bound it. Invariant: the value lies within the interval, and the same tally
+//! and seed give the same interval.
+
+use std::fmt;
+
+use hdrhistogram::Histogram;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+use statrs::distribution::Binomial;
+use statrs::distribution::DiscreteCDF;
+
+use crate::tally::Cell;
+use crate::tally::Counts;
+use crate::tally::Tally;
+
+/// Resamples of a bootstrap.
+pub const RESAMPLES: usize = 400;
+/// The share of resamples, or of samples, that lies outside on each side.
+const OUTSIDE: f64 = 0.025;
+
+/// A value and the interval that it lies in with a confidence of 95%.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Interval {
+    /// The estimate.
+    pub value: f64,
+    /// The lower bound.
+    pub low: f64,
+    /// The upper bound; `None` if the samples don't give one.
+    pub high: Option<f64>,
+}
+
+impl Interval {
+    /// Whether all of it lies below all of `other`.
+    pub fn below(&self, other: &Self) -> bool {
+        self.high.is_some_and(|high| high < other.low)
+    }
+
+    fn joined(self, low: f64, high: Option<f64>) -> Self {
+        let high = self.high.zip(high).map(|(ours, theirs)| ours.max(theirs));
+        Self { value: self.value, low: self.low.min(low), high }
+    }
+}
+
+impl fmt::Display for Interval {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { value, low, high } = self;
+        match high {
+            Some(high) => write!(f, "{value:.2} [{low:.2}, {high:.2}]"),
+            None => write!(f, "{value:.2} [{low:.2}, ?]"),
+        }
+    }
+}
+
+/// Resamples of one tally's cells.
+#[derive(Debug)]
+pub struct Resamples {
+    total: Cell,
+    /// The latencies that occur, ascending, in microseconds.
+    latencies: Vec<u64>,
+    sums: Vec<Sum>,
+}
+
+/// One tally's cell, or the sum of drawn cells.
+#[derive(Clone, Debug)]
+struct Sum {
+    counts: Counts,
+    /// How often each of the latencies occurs.
+    buckets: Vec<u64>,
+}
+
+impl Resamples {
+    /// Draws [`RESAMPLES`] sets of cells, with replacement.
+    pub fn new(tally: &Tally, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let total = tally.total();
+        let recorded = total.latency.iter_recorded();
+        let latencies: Vec<u64> = recorded.map(|step| step.value_iterated_to()).collect();
+        let filled = tally.cells().iter().filter(|cell| cell.counts.requests > 0);
+        let cells: Vec<Sum> = filled.map(|cell| Sum::new(cell, &latencies)).collect();
+        let sums = (0..RESAMPLES).map(|_| resample(&cells, latencies.len(), &mut rng)).collect();
+        Self { total, latencies, sums }
+    }
+
+    /// All cells as one.
+    pub fn total(&self) -> &Cell {
+        &self.total
+    }
+
+    /// The interval of any measure of the counts.
+    pub fn interval(&self, measure: impl Fn(&Counts) -> f64) -> Interval {
+        let values = self.sums.iter().map(|sum| measure(&sum.counts)).collect();
+        spread(measure(&self.total.counts), values)
+    }
+
+    /// The interval of a quantile (0 to 1) of the latency, in milliseconds.
+    pub fn quantile(&self, quantile: f64) -> Interval {
+        let values = self.sums.iter().map(|sum| sum.quantile(&self.latencies, quantile)).collect();
+        let interval = spread(millis(self.total.quantile(quantile)), values);
+        let (low, high) = by_rank(&self.total.latency, quantile);
+        interval.joined(low, high)
+    }
+}
+
+impl Sum {
+    fn new(cell: &Cell, latencies: &[u64]) -> Self {
+        let buckets = latencies.iter().map(|latency| cell.latency.count_at(*latency)).collect();
+        Self { counts: cell.counts, buckets }
+    }
+
+    fn merge(&mut self, other: &Self, times: u64) {
+        self.counts.merge(&other.counts, times);
+        for (bucket, theirs) in self.buckets.iter_mut().zip(&other.buckets) {
+            *bucket += times * theirs;
+        }
+    }
+
+    /// The lowest latency that the quantile's share stays within, in
+    /// milliseconds.
+    fn quantile(&self, latencies: &[u64], quantile: f64) -> f64 {
+        let count: u64 = self.buckets.iter().sum();
+        let rank = (quantile * count as f64).ceil() as u64;
+        let mut passed = 0;
+        for (latency, bucket) in latencies.iter().zip(&self.buckets) {
+            passed += bucket;
+            if passed >= rank.max(1) {
+                return millis(*latency);
+            }
+        }
+        0.0
+    }
+}
+
+fn resample(cells: &[Sum], buckets: usize, rng: &mut ChaCha8Rng) -> Sum {
+    let mut times = vec![0; cells.len()];
+    for _ in cells {
+        times[rng.random_range(0..cells.len())] += 1;
+    }
+    let mut sum = Sum { counts: Counts::default(), buckets: vec![0; buckets] };
+    let drawn = cells.iter().zip(times).filter(|(_, times)| *times > 0);
+    drawn.for_each(|(cell, times)| sum.merge(cell, times));
+    sum
+}
+
+fn spread(value: f64, mut values: Vec<f64>) -> Interval {
+    values.sort_by(f64::total_cmp);
+    let low = at_share(&values, OUTSIDE).unwrap_or(value);
+    let high = at_share(&values, 1.0 - OUTSIDE).unwrap_or(value);
+    Interval { value, low: low.min(value), high: Some(high.max(value)) }
+}
+
+fn at_share(sorted: &[f64], share: f64) -> Option<f64> {
+    let last = sorted.len().checked_sub(1)?;
+    Some(sorted[(share * last as f64).round() as usize])
+}
+
+/// The samples whose ranks bound the quantile, in milliseconds.
+///
+/// The number of samples below the true quantile is binomial.
+fn by_rank(latency: &Histogram<u64>, quantile: f64) -> (f64, Option<f64>) {
+    let count = latency.len();
+    let Ok(below) = Binomial::new(quantile, count) else { return (0.0, None) };
+    if count == 0 {
+        return (0.0, None);
+    }
+    let low_rank = below.inverse_cdf(OUTSIDE);
+    let high_rank = below.inverse_cdf(1.0 - OUTSIDE) + 1;
+    let low = if low_rank == 0 { 0.0 } else { millis(at_rank(latency, low_rank)) };
+    let high = (high_rank <= count).then(|| millis(at_rank(latency, high_rank)));
+    (low, high)
+}
+
+fn at_rank(latency: &Histogram<u64>, rank: u64) -> u64 {
+    latency.value_at_quantile(rank as f64 / latency.len() as f64)
+}
+
+fn millis(micros: u64) -> f64 {
+    micros as f64 / 1000.0
+}
--- /dev/null
+++ b/crates/version/trial/tests/fair_verdict.rs
@@ -0,0 +1,118 @@
+//! The report tells a winner only where there is one.
+
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use conf::object::Value;
+use trial::report::Report;
+use trial::report::Verdict;
+use trial::tally::Sample;
+use trial::tally::Table;
+
+const CALLERS: u64 = 200;
+
+/// Traffic of one arm: each caller has its own factor of latency.
+struct Arm {
+    name: &'static str,
+    factor: f64,
+    lost_share: f64,
+    refused_share: f64,
+}
+
+impl Arm {
+    fn new(name: &'static str) -> Self {
+        Self { name, factor: 1.0, lost_share: 0.01, refused_share: 0.0 }
+    }
+
+    fn fill(&self, table: &mut Table, callers: u64, requests: u64, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let name: Arc<str> = Arc::from(self.name);
+        for caller in 0..callers {
+            let own = 1.0 + 2.0 * rng.random::<f64>().powi(3);
+            for _ in 0..requests {
+                let tail = -(1.0 - rng.random::<f64>()).ln();
+                let latency = 5_000.0 * own * (1.0 + tail) * self.factor;
+                let refused = rng.random::<f64>() < self.refused_share;
+                let lost = u32::from(rng.random::<f64>() < self.lost_share);
+                let covered = if refused { 0 } else { 10 - lost };
+                let sample =
+                    Sample { latency_us: latency as u64, asked: 10, covered, sends: 10, refused };
+                table.add(&name, &format!("{}-{caller}", self.name), &sample);
+            }
+        }
+    }
+}
+
+fn report(value: Value, arms: &[Arm], callers: u64, requests: u64, seed: u64) -> Report {
+    let mut table = Table::new();
+    for (index, arm) in arms.iter().enumerate() {
+        arm.fill(&mut table, callers, requests, seed * 100 + index as u64);
+    }
+    Report::new("pair", value, &table)
+}
+
+#[test]
+fn equal_arms_stay_undecided() {
+    let wins = |value| {
+        let pair = |seed| report(value, &[Arm::new("a"), Arm::new("b")], CALLERS, 20, seed);
+        let reports = (0..60).map(pair);
+        reports.filter(|report| report.verdict != Verdict::Undecided).count()
+    };
+    // Non-overlap of two 95% intervals is rarer than 5%.
+    let (tail, coverage) = (wins(Value::Tail), wins(Value::Coverage));
+    assert!(tail <= 3 && coverage <= 3, "tail {tail}, coverage {coverage} of 60");
+}
+
+#[test]
+fn faster_arm_wins_on_the_tail() {
+    let slower = || Arm { factor: 1.6, ..Arm::new("slow") };
+    for seed in 0..5 {
+        let report = report(Value::Tail, &[Arm::new("fast"), slower()], CALLERS, 100, seed);
+        assert_eq!(report.verdict, Verdict::Winner(Arc::from("fast")), "{report}");
+    }
+}
+
+#[test]
+fn fuller_arm_wins_on_coverage() {
+    let arms = || [Arm { lost_share: 0.2, ..Arm::new("bare") }, Arm::new("full")];
+    let valued = report(Value::Coverage, &arms(), CALLERS, 100, 1);
+    assert_eq!(valued.verdict, Verdict::Winner(Arc::from("full")), "{valued}");
+    let tail = report(Value::Tail, &arms(), CALLERS, 100, 1);
+    assert_eq!(tail.verdict, Verdict::Undecided, "{tail}");
+}
+
+#[test]
+fn refusing_arm_does_not_win() {
+    let refusing = Arm { factor: 0.5, refused_share: 0.2, ..Arm::new("refusing") };
+    let report = report(Value::Tail, &[Arm::new("plain"), refusing], CALLERS, 100, 1);
+    assert_eq!(report.verdict, Verdict::Undecided, "{report}");
+    assert!(report.reason.contains("refuses more"), "{}", report.reason);
+}
+
+#[test]
+fn few_callers_stay_undecided() {
+    let slow = Arm { factor: 3.0, ..Arm::new("slow") };
+    let report = report(Value::Tail, &[Arm::new("fast"), slow], 4, 5000, 1);
+    assert_eq!(report.verdict, Verdict::Undecided, "{report}");
+    assert!(report.reason.contains("too few units"), "{}", report.reason);
+}
+
+#[test]
+fn scarce_tail_has_no_upper_bound() {
+    let report = report(Value::Tail, &[Arm::new("a"), Arm::new("b")], 100, 3, 1);
+    let row = &report.rows[0];
+    assert_eq!(row.requests, 300);
+    assert!(row.p50_ms.high.is_some());
+    assert_eq!(row.p999_ms.high, None);
+    assert_eq!(report, self::report(Value::Tail, &[Arm::new("a"), Arm::new("b")], 100, 3, 1));
+}
+
+#[test]
+fn one_arm_or_none_is_undecided() {
+    assert_eq!(Report::new("x", Value::Tail, &Table::new()).verdict, Verdict::Undecided);
+    let one = report(Value::Tail, &[Arm::new("a")], CALLERS, 10, 1);
+    assert_eq!(one.verdict, Verdict::Undecided);
+}
--- /dev/null
+++ b/crates/version/trial/tests/tally_merge.rs
@@ -0,0 +1,82 @@
+//! Tallies of many nodes become one.
+
+use std::sync::Arc;
+
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+use trial::tally::Sample;
+use trial::tally::Table;
+
+type Event = (u8, u8, Sample);
+
+fn config() -> Config {
+    Config {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..Config::default()
+    }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let latency = prop::sample::select(vec![0, 1, 999, 4_321, 70_000, 5_000_000, u64::MAX]);
+    (0..3u8, 0..50u8, latency, 0..20u32, 0..20u32, any::<bool>()).prop_map(
+        |(arm, unit, latency_us, covered, sends, refused)| {
+            let sample = Sample { latency_us, asked: 20, covered, sends, refused };
+            (arm, unit, sample)
+        },
+    )
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    prop::collection::vec(event(), 0..40)
+}
+
+fn table(events: &[Event]) -> Table {
+    let mut table = Table::new();
+    for (arm, unit, sample) in events {
+        table.add(&Arc::from(format!("arm-{arm}")), &format!("unit-{unit}"), sample);
+    }
+    table
+}
+
+fn merged(left: &Table, right: &Table) -> Table {
+    let mut sum = left.clone();
+    sum.merge(right);
+    sum
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn order_and_grouping_do_not_count(a in events(), b in events(), c in events()) {
+        let (x, y, z) = (table(&a), table(&b), table(&c));
+        prop_assert_eq!(merged(&x, &y), merged(&y, &x));
+        prop_assert_eq!(merged(&merged(&x, &y), &z), merged(&x, &merged(&y, &z)));
+        let all: Vec<Event> = a.into_iter().chain(b).chain(c).collect();
+        prop_assert_eq!(merged(&merged(&x, &y), &z), table(&all));
+    }
+
+    #[test]
+    fn copy_over_the_wire_is_equal(events in events()) {
+        let sent = table(&events);
+        let text = serde_json::to_string(&sent).expect("a table is JSON");
+        let read: Table = serde_json::from_str(&text).expect("what was written is read");
+        prop_assert_eq!(&read, &sent);
+        prop_assert_eq!(merged(&read, &sent), merged(&sent, &sent));
+    }
+}
+
+#[test]
+fn malformed_table_is_refused() {
+    let mut sent = serde_json::to_value(table(&[])).expect("a table is JSON");
+    sent["arms"]["a"] = serde_json::json!({ "cells": [] });
+    assert!(serde_json::from_value::<Table>(sent).is_err());
+}
