--- a/crates/process/node/src/lib.rs
+++ b/crates/process/node/src/lib.rs
@@ -1,3 +1,9 @@
-//! The `node` crate of heatherseam; see its README.
+//! The entry node: the I/O shell around the decisions of the other crates.
 
 #![deny(missing_docs)]
+
+pub mod clock;
+pub mod connection;
+pub mod logging;
+pub mod metrics;
+pub mod options;
--- /dev/null
+++ b/crates/process/node/src/options.rs
@@ -0,0 +1,60 @@
+//! The command line of `heatherseam`.
+
+use std::path::PathBuf;
+
+use getopts::Options;
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Run an entry node with the settings of this file.
+    Run(PathBuf),
+    /// Check this settings file and exit.
+    Check(PathBuf),
+    /// Print this text and exit.
+    Print(String),
+}
+
+/// A command line that can't be followed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// An option is unknown or lacks its value.
+    #[error("{0}")]
+    Option(String),
+    /// No settings file is named.
+    #[error("name the settings file: heatherseam --settings FILE")]
+    NoSettings,
+    /// Something stands behind the options.
+    #[error("`{0}` is not understood; see heatherseam --help")]
+    Extra(String),
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "run with the settings of FILE", "FILE");
+    options.optopt("c", "check", "check FILE, print every fault with its place, and exit", "FILE");
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Reads the command line, program name left out.
+pub fn parse(arguments: &[String]) -> Result<Command, Error> {
+    let options = options();
+    let matches = options.parse(arguments).map_err(|error| Error::Option(error.to_string()))?;
+    if matches.opt_present("help") {
+        let brief = "Usage: heatherseam --settings FILE | --check FILE\n\n\
+                     An entry node of the heatherseam query tier.";
+        return Ok(Command::Print(options.usage(brief)));
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Print(format!("heatherseam {}\n", env!("CARGO_PKG_VERSION"))));
+    }
+    if let Some(extra) = matches.free.first() {
+        return Err(Error::Extra(extra.clone()));
+    }
+    if let Some(file) = matches.opt_str("check") {
+        return Ok(Command::Check(file.into()));
+    }
+    matches.opt_str("settings").map(|file| Command::Run(file.into())).ok_or(Error::NoSettings)
+}
