--- a/crates/connection/wire/src/caller.rs
+++ b/crates/connection/wire/src/caller.rs
@@ -189,6 +189,8 @@
     LostReply,
     /// The node has no fresh configuration yet.
     NotReady,
+    /// The caller left before the answer.
+    Cancelled,
 }
 
 /// The final word on a request that got no answer; sent at once.
--- /dev/null
+++ b/crates/request/once/src/table.rs
@@ -0,0 +1,305 @@
+//! The tickets of one node incarnation and those it adopted from stopped peers.
+//!
+//! Invariants: only the minter's table lets a ticket's request be sent, and for
+//! each ticket at most one send is outstanding or may have run; a forgotten,
+//! foreign or sealed ticket never runs. The table never forgets a ticket that
+//! may still be used or whose request runs: when it is full it mints no more.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::entry::Entry;
+use crate::entry::State;
+use crate::outcome::Final;
+use crate::sealed::Fate;
+use crate::sealed::Ledger;
+use crate::sealed::Record;
+use crate::sealed::Sealed;
+use base::time::Time;
+use wire::caller::Outcome;
+use wire::id::Incarnation;
+use wire::id::Ticket;
+
+/// What to do with a request that carries a ticket.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Begin {
+    /// Run it, then call [`Table::finish`].
+    Run,
+    /// It runs already; wait for the same outcome.
+    Running,
+    /// It is decided.
+    Done(Final),
+    /// Only this incarnation may run it or tell its outcome.
+    Elsewhere(Incarnation),
+    /// The minter stopped: nothing runs any more; this is what is known.
+    Stopped(Outcome),
+    /// The ticket belongs to another request, or was never minted.
+    Wrong,
+    /// Too late. The outcome is "not run" while the entry is remembered as
+    /// unused, else "unknown".
+    Expired(Outcome),
+}
+
+/// Why a sealed table wasn't adopted; hand it to another peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unadopted {
+    /// There is no room.
+    #[error("the ticket table is full")]
+    Full,
+    /// This table is sealed itself.
+    #[error("the ticket table is sealed")]
+    Sealed,
+}
+
+/// A ledger of a stopped peer.
+struct Adopted {
+    ledger: Ledger,
+    expires: Time,
+}
+
+/// The ticket table of one node incarnation.
+pub struct Table {
+    incarnation: Incarnation,
+    capacity: usize,
+    keep: Duration,
+    next: u64,
+    entries: HashMap<u64, Entry>,
+    /// Entries that may be forgotten, by when.
+    expiries: BTreeSet<(Time, u64)>,
+    adopted: BTreeMap<Incarnation, Adopted>,
+    sealed: bool,
+}
+
+impl Table {
+    /// An empty table. A ticket may be used for `keep` after it was minted, and
+    /// its outcome is remembered for as long after it is known. `capacity`
+    /// bounds the tickets that are remembered, adopted ones included.
+    pub fn new(incarnation: Incarnation, capacity: usize, keep: Duration) -> Self {
+        Self {
+            incarnation,
+            capacity,
+            keep,
+            next: 0,
+            entries: HashMap::new(),
+            expiries: BTreeSet::new(),
+            adopted: BTreeMap::new(),
+            sealed: false,
+        }
+    }
+
+    /// How many tickets are remembered, adopted ones included.
+    pub fn len(&self) -> usize {
+        let adopted = self.adopted.values().map(|adopted| adopted.ledger.records.len());
+        self.entries.len() + adopted.sum::<usize>()
+    }
+
+    /// Whether no ticket is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether [`Table::seal`] was called.
+    pub fn is_sealed(&self) -> bool {
+        self.sealed
+    }
+
+    /// Mints up to `count` tickets: fewer when the table is nearly full, none
+    /// when it is full or sealed.
+    pub fn mint(&mut self, count: usize, now: Time) -> Vec<Ticket> {
+        self.forget(now);
+        if self.sealed {
+            return Vec::new();
+        }
+        let room = self.capacity.saturating_sub(self.len());
+        (0..count.min(room)).map(|_| self.mint_one(now)).collect()
+    }
+
+    fn mint_one(&mut self, now: Time) -> Ticket {
+        let number = self.next;
+        self.next += 1;
+        let entry = Entry::new(now + self.keep);
+        self.expiries.insert((entry.expires, number));
+        self.entries.insert(number, entry);
+        Ticket { minter: self.incarnation, number }
+    }
+
+    /// A request with `ticket` and the hash `fingerprint` came; it may be sent
+    /// until `deadline`.
+    pub fn begin(&mut self, ticket: Ticket, fingerprint: u64, deadline: Time, now: Time) -> Begin {
+        self.forget(now);
+        if ticket.minter != self.incarnation {
+            return self.begin_foreign(ticket, fingerprint);
+        }
+        let sealed = self.sealed;
+        let minted = ticket.number < self.next;
+        let Some(entry) = self.entries.get_mut(&ticket.number) else {
+            return if minted { Begin::Expired(Outcome::Unknown) } else { Begin::Wrong };
+        };
+        if entry.fingerprint.is_some_and(|known| known != fingerprint) {
+            return Begin::Wrong;
+        }
+        match &entry.state {
+            State::Done(last) => Begin::Done(last.clone()),
+            State::Running | State::Sent => Begin::Running,
+            State::Idle if sealed => Begin::Stopped(Outcome::NotRun),
+            State::Idle if now >= entry.use_by => Begin::Expired(Outcome::NotRun),
+            State::Idle => {
+                entry.fingerprint = Some(fingerprint);
+                entry.state = State::Running;
+                entry.send_by = deadline.min(entry.use_by);
+                let expires = entry.expires;
+                self.expiries.remove(&(expires, ticket.number));
+                Begin::Run
+            }
+        }
+    }
+
+    fn begin_foreign(&self, ticket: Ticket, fingerprint: u64) -> Begin {
+        let Some(adopted) = self.adopted.get(&ticket.minter) else {
+            return Begin::Elsewhere(ticket.minter);
+        };
+        let ledger = &adopted.ledger;
+        let Some(record) = ledger.records.get(&ticket.number) else {
+            let minted = ticket.number < ledger.next;
+            return if minted { Begin::Expired(Outcome::Unknown) } else { Begin::Wrong };
+        };
+        if record.fingerprint.is_some_and(|known| known != fingerprint) {
+            return Begin::Wrong;
+        }
+        match &record.fate {
+            Fate::NotRun => Begin::Stopped(Outcome::NotRun),
+            Fate::Unknown => Begin::Stopped(Outcome::Unknown),
+            Fate::Done(last) => Begin::Done(last.clone()),
+        }
+    }
+
+    /// Whether the ticket's request may be sent at `now`: asked at the moment of
+    /// sending, so that a process that was paused doesn't send too late.
+    pub fn may_send(&self, ticket: Ticket, now: Time) -> bool {
+        !self.sealed && self.own(ticket).is_some_and(|entry| entry.may_send(now))
+    }
+
+    /// Notes that the ticket's request is being sent, if it may be; only on
+    /// `true` may the message be handed over.
+    pub fn sent(&mut self, ticket: Ticket, now: Time) -> bool {
+        if !self.may_send(ticket, now) {
+            return false;
+        }
+        let Some(entry) = self.entries.get_mut(&ticket.number) else { return false };
+        entry.state = State::Sent;
+        true
+    }
+
+    /// The upstream certified that it did not run what was sent, or the message
+    /// never left; it may be sent again.
+    pub fn not_run(&mut self, ticket: Ticket) {
+        if let Some(entry) = self.own_mut(ticket)
+            && entry.state == State::Sent
+        {
+            entry.state = State::Running;
+        }
+    }
+
+    /// Ends the run of a ticket and returns what must be told.
+    ///
+    /// After "not run" the ticket may be used again. "Not run" about a request
+    /// that was sent without a certificate is turned into "unknown".
+    pub fn finish(&mut self, ticket: Ticket, mut last: Final, now: Time) -> Final {
+        let keep = self.keep;
+        let sealed = self.sealed;
+        let Some(entry) = self.own_mut(ticket) else { return last };
+        match entry.state {
+            State::Idle | State::Done(_) => return last,
+            State::Running | State::Sent => {}
+        }
+        if entry.state == State::Sent
+            && let Final::Refusal(refusal) = &mut last
+        {
+            refusal.outcome = Outcome::Unknown;
+        }
+        let again = last.is_not_run() && !sealed;
+        entry.state = if again { State::Idle } else { State::Done(last.clone()) };
+        entry.expires = if again { entry.use_by } else { now + keep };
+        let expires = entry.expires;
+        self.expiries.insert((expires, ticket.number));
+        last
+    }
+
+    fn own(&self, ticket: Ticket) -> Option<&Entry> {
+        let own = ticket.minter == self.incarnation;
+        self.entries.get(&ticket.number).filter(|_| own)
+    }
+
+    fn own_mut(&mut self, ticket: Ticket) -> Option<&mut Entry> {
+        let own = ticket.minter == self.incarnation;
+        self.entries.get_mut(&ticket.number).filter(|_| own)
+    }
+
+    /// Closes the table for good: nothing is minted, begun or sent after it.
+    ///
+    /// May be called again to learn how the requests that ran have ended since.
+    pub fn seal(&mut self) -> Sealed {
+        self.sealed = true;
+        let record = |entry: &Entry| Record {
+            fingerprint: entry.fingerprint,
+            fate: match &entry.state {
+                State::Idle | State::Running => Fate::NotRun,
+                State::Sent => Fate::Unknown,
+                State::Done(last) => Fate::Done(last.clone()),
+            },
+        };
+        let records = self.entries.iter().map(|(number, entry)| (*number, record(entry)));
+        let own = Ledger { minter: self.incarnation, next: self.next, records: records.collect() };
+        let adopted = self.adopted.values().map(|adopted| adopted.ledger.clone());
+        Sealed { ledgers: std::iter::once(own).chain(adopted).collect() }
+    }
+
+    /// Takes over the tickets of a peer that stopped, to tell their outcomes.
+    pub fn adopt(&mut self, sealed: Sealed, now: Time) -> Result<(), Unadopted> {
+        self.forget(now);
+        if self.sealed {
+            return Err(Unadopted::Sealed);
+        }
+        if self.len() + sealed.len() > self.capacity {
+            return Err(Unadopted::Full);
+        }
+        let expires = now + self.keep;
+        for ledger in sealed.ledgers {
+            if ledger.minter == self.incarnation {
+                continue;
+            }
+            match self.adopted.get_mut(&ledger.minter) {
+                Some(adopted) => adopted.ledger.merge(ledger),
+                None => {
+                    self.adopted.insert(ledger.minter, Adopted { ledger, expires });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Forgets what can't be asked for any more.
+    fn forget(&mut self, now: Time) {
+        while let Some(&(expires, number)) = self.expiries.first()
+            && expires <= now
+        {
+            self.expiries.pop_first();
+            self.entries.remove(&number);
+        }
+        self.adopted.retain(|_, adopted| now < adopted.expires);
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sealed = if self.sealed { ", sealed" } else { "" };
+        writeln!(f, "{} of {} tickets{sealed}", self.len(), self.capacity)?;
+        for (minter, adopted) in &self.adopted {
+            writeln!(f, "{} tickets of {minter} adopted", adopted.ledger.records.len())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/request/query/src/plan.rs
@@ -0,0 +1,141 @@
+//! What is decided about a query before its first send.
+//!
+//! Invariant: a plan never changes. Its targets are complete: the shards of a
+//! target are numbers of that target's own map, so a restart under another map
+//! never carries a shard number over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::entity::Shard;
+use base::time::Time;
+use conf::object::Policy;
+use conf::object::Value;
+use wire::id::Incarnation;
+use wire::id::Snapshot;
+
+/// A snapshot and the shards to ask of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// The snapshot.
+    pub snapshot: Snapshot,
+    /// The asked shards, numbers of the snapshot's map; order and repeats
+    /// don't matter.
+    pub shards: Arc<[Shard]>,
+}
+
+/// How attempts are repeated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Whether slow attempts are hedged.
+    pub hedge: bool,
+    /// The most attempts of one shard under one snapshot, the first included.
+    pub attempts: u32,
+    /// The pause before a server is asked again, doubled after each attempt.
+    pub pause: Duration,
+    /// How long a shard is waited for that no server can answer; only where
+    /// coverage is valued.
+    pub replica_wait: Duration,
+    /// The time that must be left for a restart at another snapshot.
+    pub restart_left: Duration,
+    /// Taken off the deadline that upstreams are told, for the way back.
+    pub way: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            hedge: true,
+            attempts: 3,
+            pause: Duration::from_millis(2),
+            replica_wait: Duration::from_millis(100),
+            restart_left: Duration::from_millis(50),
+            way: Duration::from_millis(2),
+        }
+    }
+}
+
+impl Settings {
+    /// The settings that `policy` asks for.
+    pub fn with_policy(policy: &Policy) -> Self {
+        Self {
+            hedge: policy.hedge.quantile_percent < 100.0 && policy.hedge.budget_percent > 0.0,
+            attempts: policy.retry.attempts.max(1),
+            ..Self::default()
+        }
+    }
+}
+
+/// Everything that a query is run by.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The node incarnation that runs it.
+    pub node: Incarnation,
+    /// Its number within the incarnation.
+    pub request: u64,
+    /// Where it may run, best first. One is pinned before the first send; the
+    /// others are what a restart may use.
+    pub targets: Vec<Target>,
+    /// The lowest index version that the answer may come from.
+    pub min_version: u64,
+    /// When the answer must be ready.
+    pub deadline: Time,
+    /// When a query that values the tail answers with what is covered.
+    pub slice: Time,
+    /// What the service values.
+    pub value: Value,
+    /// Whether running it twice does harm.
+    pub non_idempotent: bool,
+    /// How attempts are repeated.
+    pub settings: Settings,
+}
+
+impl Plan {
+    /// A plan that values coverage and ends at `deadline`.
+    pub fn new(node: Incarnation, request: u64, targets: Vec<Target>, deadline: Time) -> Self {
+        Self {
+            node,
+            request,
+            targets,
+            min_version: 0,
+            deadline,
+            slice: deadline,
+            value: Value::Coverage,
+            non_idempotent: false,
+            settings: Settings::default(),
+        }
+    }
+
+    /// The plan with the tail valued: it answers at `slice` if any shard is
+    /// covered then.
+    pub fn with_slice(mut self, slice: Time) -> Self {
+        self.value = Value::Tail;
+        self.slice = slice;
+        self
+    }
+
+    /// The plan with a lowest index version.
+    pub fn with_min_version(mut self, version: u64) -> Self {
+        self.min_version = version;
+        self
+    }
+
+    /// The plan of a request that must not run twice.
+    pub fn with_non_idempotent(mut self) -> Self {
+        self.non_idempotent = true;
+        self
+    }
+
+    /// The plan with other settings.
+    pub fn with_settings(mut self, settings: Settings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Whether the target at `index` may answer.
+    pub fn allows(&self, index: usize) -> bool {
+        let Some(target) = self.targets.get(index) else { return false };
+        let single = !self.non_idempotent || target.shards.len() == 1;
+        single && target.snapshot.version >= self.min_version
+    }
+}
