--- /dev/null
+++ b/crates/connection/pool/src/lease.rs
@@ -0,0 +1,61 @@
+//! One connection in the hands of one request.
+//!
+//! Invariant: a connection on which a request was sent goes back to the pool
+//! only after its whole reply was read; dropped before that, it is closed.
+
+use std::sync::Arc;
+
+use base::entity::Server;
+
+use crate::lane::Connection;
+use crate::state::Link;
+use crate::state::Shared;
+
+pub(crate) struct Lease {
+    shared: Arc<Shared>,
+    pub(crate) server: Server,
+    pub(crate) id: Connection,
+    link: Option<Link>,
+    unread: bool,
+}
+
+impl Lease {
+    pub(crate) fn new(shared: Arc<Shared>, server: Server, id: Connection, link: Link) -> Self {
+        Self { shared, server, id, link: Some(link), unread: false }
+    }
+
+    pub(crate) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    pub(crate) fn link(&mut self) -> Option<&mut Link> {
+        self.link.as_mut()
+    }
+
+    /// Takes the connection out, so that dropping the lease does nothing.
+    pub(crate) fn take(&mut self) -> Option<Link> {
+        self.link.take()
+    }
+
+    /// Marks that a reply is due: from here on dropping closes the connection.
+    pub(crate) fn due(&mut self) {
+        self.unread = true;
+    }
+
+    /// Marks that the whole reply was read.
+    pub(crate) fn read(&mut self) {
+        self.unread = false;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let Some(link) = self.link.take() else { return };
+        if self.unread || link.sender.is_closed() {
+            link.stop.cancel();
+            self.shared.close(self.server, self.id);
+        } else {
+            self.shared.release(self.server, self.id, link);
+        }
+    }
+}
