--- a/crates/connection/pool/src/exchange.rs
+++ b/crates/connection/pool/src/exchange.rs
@@ -17,7 +17,6 @@
 use hyper::http::response::Parts;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
-use wire::upstream::Health;
 
 use crate::error::Error;
 use crate::error::Lost;
@@ -30,6 +29,7 @@
 use crate::request::Message;
 use crate::request::Request;
 use crate::request::Target;
+use wire::upstream::Health;
 
 /// What came back, read as far as it came.
 struct Raw {
--- a/crates/connection/pool/src/lease.rs
+++ b/crates/connection/pool/src/lease.rs
@@ -5,11 +5,10 @@
 
 use std::sync::Arc;
 
-use base::entity::Server;
-
 use crate::lane::Connection;
 use crate::state::Link;
 use crate::state::Shared;
+use base::entity::Server;
 
 pub(crate) struct Lease {
     shared: Arc<Shared>,
--- a/crates/connection/pool/src/process.rs
+++ b/crates/connection/pool/src/process.rs
@@ -11,13 +11,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::entity::Server;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::interval;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
-use wire::upstream::Health;
 
 use crate::connect;
 use crate::error::Error;
@@ -34,6 +32,8 @@
 use crate::state::Grant;
 use crate::state::Link;
 use crate::state::Shared;
+use base::entity::Server;
+use wire::upstream::Health;
 
 /// Connections that an attempt is tried on while each one hands it back.
 const TRIES: u32 = 3;
--- a/crates/connection/pool/src/reply.rs
+++ b/crates/connection/pool/src/reply.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
+
 use wire::id::Attempt;
 use wire::id::Incarnation;
 use wire::id::Snapshot;
--- a/crates/connection/pool/src/request.rs
+++ b/crates/connection/pool/src/request.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::entity::Server;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::header;
+
+use base::entity::Server;
 use wire::caller::Priority;
 use wire::id::Attempt;
 use wire::id::Snapshot;
--- a/crates/connection/pool/src/silence.rs
+++ b/crates/connection/pool/src/silence.rs
@@ -15,9 +15,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use base::time::Time;
-
 use crate::lane::Connection;
+use base::time::Time;
 
 /// Replies whose latency is remembered.
 const RECENT: usize = 64;
--- a/crates/connection/pool/src/state.rs
+++ b/crates/connection/pool/src/state.rs
@@ -8,8 +8,6 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
-use base::entity::Server;
-use base::time::Time;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use parking_lot::Mutex;
@@ -28,6 +26,8 @@
 use crate::request::Target;
 use crate::settings::Settings;
 use crate::silence::Detector;
+use base::entity::Server;
+use base::time::Time;
 
 /// Shards of the table of servers.
 const SHARDS: usize = 16;
