store: client, writes that tell only what is proven, watch that finds silence

Cause: nodes need the platform's objects under lost answers, stale reads and silent watches. Ruled out: DELETE for deletions, since it carries no operation id and lists leave its tombstones out; telling a conflict from any newer object, since ours may have come between (the envelope names what it replaced instead).

--- a/crates/process/store/src/lib.rs
+++ b/crates/process/store/src/lib.rs
@@ -1,3 +1,11 @@
-//! The `store` crate of heatherseam; see its README.
+//! The platform's object API as a node sees it: conditional writes, reads,
+//! watches, and what may be said about each when the platform misbehaves.
 
 #![deny(missing_docs)]
+
+pub mod api;
+pub mod budget;
+pub mod client;
+pub mod follow;
+pub mod watch;
+pub mod write;
