--- a/crates/process/store/src/client.rs
+++ b/crates/process/store/src/client.rs
@@ -29,6 +29,15 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::api::Changes;
+use crate::api::Envelope;
+use crate::api::Error;
+use crate::api::Expected;
+use crate::api::Listing;
+use crate::api::Reply;
+use crate::api::Store;
+use crate::api::Stored;
+use crate::budget::Bucket;
 use base::time::Time;
 use conf::object::Key;
 use conf::object::Kind;
@@ -41,16 +50,6 @@
 use wire::platform::Vms;
 use wire::platform::WATCH_PATH;
 
-use crate::api::Changes;
-use crate::api::Envelope;
-use crate::api::Error;
-use crate::api::Expected;
-use crate::api::Listing;
-use crate::api::Reply;
-use crate::api::Store;
-use crate::api::Stored;
-use crate::budget::Bucket;
-
 /// The largest answer that is read, in bytes.
 const ANSWER_LIMIT: usize = 64 << 20;
 /// How many idle connections are kept.
--- a/crates/process/store/src/follow.rs
+++ b/crates/process/store/src/follow.rs
@@ -9,16 +9,15 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use base::time::Time;
-use conf::object::Kind;
-use conf::object::Object;
-use wire::platform::Vms;
-
 use crate::api::Error;
 use crate::api::Store;
 use crate::watch::Action;
 use crate::watch::Settings;
 use crate::watch::Watch;
+use base::time::Time;
+use conf::object::Kind;
+use conf::object::Object;
+use wire::platform::Vms;
 
 /// How often an idle node asks whether it is to hold the watch.
 const IDLE_STEP: Duration = Duration::from_millis(250);
--- a/crates/process/store/src/watch.rs
+++ b/crates/process/store/src/watch.rs
@@ -12,9 +12,8 @@
 use std::fmt;
 use std::time::Duration;
 
-use base::time::Time;
-
 use crate::budget::Backoff;
+use base::time::Time;
 
 /// How changes are followed.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/process/store/src/write.rs
+++ b/crates/process/store/src/write.rs
@@ -19,15 +19,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::time::Time;
-use conf::object::Key;
-use conf::object::Spec;
-
 use crate::api::Error;
 use crate::api::Expected;
 use crate::api::Store;
 use crate::api::Stored;
 use crate::budget::Backoff;
+use base::time::Time;
+use conf::object::Key;
+use conf::object::Spec;
 
 /// What is to be written.
 #[derive(Clone, Debug)]
