conf: settings declared once, faults told together with their places

Each setting is declared once; the parse, checks, defaults and reference page come from that declaration. marked-yaml stops at the first duplicate key, so a duplicate is reported, replaced by private characters of the same length (no place moves) and the document is read again; a last-wins parse was ruled out, since it would hide duplicates.

--- a/crates/version/conf/src/lib.rs
+++ b/crates/version/conf/src/lib.rs
@@ -5,3 +5,7 @@
 
 pub mod catalog;
 pub mod object;
+pub mod report;
+pub mod settings;
+pub mod value;
+pub mod yaml;
--- /dev/null
+++ b/crates/version/conf/src/settings.rs
@@ -0,0 +1,236 @@
+//! What a process learns from its settings file.
+//!
+//! Invariant: each setting is declared once, in [`Node`]'s declaration below.
+//! The parse, the checks, the defaults and the reference page are made from it,
+//! so they can't disagree.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use marked_yaml::types::MarkedMappingNode;
+use marked_yaml::types::MarkedScalarNode;
+
+use crate::report::Finding;
+use crate::report::Place;
+use crate::report::Report;
+use crate::value::Bounds;
+use crate::value::Value;
+use crate::yaml;
+
+/// What a setting is when the file does not name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Default {
+    /// The file must name it.
+    Required,
+    /// It stays unset.
+    Unset,
+    /// This YAML text is read in its place.
+    Text(&'static str),
+}
+
+/// One setting, as declared.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Its key in the file.
+    pub name: &'static str,
+    /// Its type, for the reference page.
+    pub type_name: &'static str,
+    /// What it is when the file does not name it.
+    pub default: Default,
+    /// Its unit; empty if it has none.
+    pub unit: &'static str,
+    /// The limits of its value.
+    pub bounds: Bounds,
+    /// What it does.
+    pub description: &'static str,
+}
+
+macro_rules! declare {
+    ($($(#[doc = $doc:literal])+ $name:ident: $kind:ty = $default:expr, $unit:literal, $bounds:expr;)+) => {
+        /// The settings of an entry node.
+        #[derive(Clone, Debug, PartialEq)]
+        pub struct Node {
+            $($(#[doc = $doc])+ pub $name: $kind,)+
+        }
+
+        /// Every setting, in the order of the reference page.
+        pub const SETTINGS: &[Setting] = &[
+            $(Setting {
+                name: stringify!($name),
+                type_name: <$kind as Value>::TYPE,
+                default: $default,
+                unit: $unit,
+                bounds: $bounds,
+                description: concat!($($doc),+),
+            },)+
+        ];
+
+        impl Node {
+            fn read(reader: &mut Reader<'_>) -> Option<Self> {
+                // All are read before the verdict, so that all faults are told.
+                $(let $name = reader.read::<$kind>(stringify!($name));)+
+                Some(Self { $($name: $name?,)+ })
+            }
+        }
+    };
+}
+
+declare! {
+    /// The node's name, unique in the deployment.
+    name: Arc<str> = Default::Required, "", Bounds::Length(1, 63);
+    /// The data centre that the node runs in.
+    data_centre: Arc<str> = Default::Required, "", Bounds::Length(1, 63);
+    /// The region of the data centre.
+    region: Arc<str> = Default::Required, "", Bounds::Length(1, 63);
+    /// Where callers are served; port 0 takes any free port.
+    caller_address: SocketAddr = Default::Required, "", Bounds::Any;
+    /// Where the other nodes are served; port 0 takes any free port.
+    peer_address: SocketAddr = Default::Required, "", Bounds::Any;
+    /// Where operators are served; port 0 takes any free port.
+    operator_address: SocketAddr = Default::Required, "", Bounds::Any;
+    /// The address that lookups name for callers, if not `caller_address`.
+    advertise_caller: Option<SocketAddr> = Default::Unset, "", Bounds::Any;
+    /// The address that other nodes use, if not `peer_address`.
+    advertise_peer: Option<SocketAddr> = Default::Unset, "", Bounds::Any;
+    /// Where the platform's object API answers; the first that answers is used.
+    platform: Vec<SocketAddr> = Default::Required, "", Bounds::Length(1, 16);
+    /// Peer addresses of nodes that a new node asks first; with none, the node
+    /// learns of the others from the platform.
+    seeds: Vec<SocketAddr> = Default::Text("[]"), "", Bounds::Length(0, 64);
+    /// The entry nodes of the deployment when none is being replaced. Each node
+    /// takes this part of a server's slots and connections.
+    fleet_size: u32 = Default::Text("6"), "nodes", Bounds::Number(1, 10_000);
+    /// The extra nodes that may run while others are being replaced; their share
+    /// of a server's connections is kept free.
+    reserve: u32 = Default::Text("1"), "nodes", Bounds::Number(0, 1_000);
+    /// How long a caller may keep a lookup's answer. A planned stop goes on
+    /// accepting for at least this long.
+    keep_ms: u64 = Default::Text("2000"), "ms", Bounds::Number(100, 60_000);
+    /// The tickets that the node keeps for requests that are not idempotent. When
+    /// the table is full, such requests are refused as not run.
+    ticket_capacity: u32 = Default::Text("65536"), "tickets", Bounds::Number(16, 16_777_216);
+    /// How long the outcome of a ticket is kept for resends.
+    ticket_keep_ms: u64 = Default::Text("600000"), "ms", Bounds::Number(1_000, 86_400_000);
+    /// The tickets that a lookup hands out at once.
+    ticket_block: u32 = Default::Text("8"), "tickets", Bounds::Number(1, 1_024);
+    /// The longest time that a planned stop waits for requests in progress.
+    stop_limit_ms: u64 = Default::Text("60000"), "ms", Bounds::Number(1_000, 600_000);
+    /// The longest time that a call to the platform may take; a write that takes
+    /// longer is read back.
+    platform_timeout_ms: u64 = Default::Text("2000"), "ms", Bounds::Number(10, 60_000);
+    /// The most calls a second that the node makes to the platform.
+    platform_calls: u32 = Default::Text("20"), "calls/s", Bounds::Number(1, 1_000);
+    /// The nodes of each data centre that hold the platform's watch.
+    watchers: u32 = Default::Text("2"), "nodes", Bounds::Number(1, 16);
+    /// The recent requests that can be explained.
+    explain_capacity: u32 = Default::Text("4096"), "requests", Bounds::Number(0, 1_000_000);
+    /// What is logged: a level, or levels by part such as `info, peer=debug`.
+    log: Arc<str> = Default::Text("info"), "", Bounds::Length(1, 1_000);
+    /// The threads that serve requests.
+    threads: u32 = Default::Text("2"), "threads", Bounds::Number(1, 256);
+    /// The seed of all random choices, for runs that can be repeated; without it
+    /// each start draws its own.
+    seed: Option<u64> = Default::Unset, "", Bounds::Any;
+}
+
+/// Reads a settings file; all faults are reported together.
+pub fn load(path: &Path) -> Result<Node, Report> {
+    let text = std::fs::read_to_string(path).map_err(|error| Report::unreadable(path, &error))?;
+    parse(&path.display().to_string(), &text)
+}
+
+/// Reads the text of the settings file `file`; all faults are reported together.
+pub fn parse(file: &str, text: &str) -> Result<Node, Report> {
+    let mut findings = Vec::new();
+    match read(text, &mut findings) {
+        Some(node) if findings.is_empty() => Ok(node),
+        _ => Err(Report::new(file, text, findings)),
+    }
+}
+
+fn read(text: &str, findings: &mut Vec<Finding>) -> Option<Node> {
+    let documents = yaml::documents(text);
+    let top = Place { line: 1, column: 1, length: 1 };
+    let [document] = documents.as_slice() else {
+        let message = format!("expected one document, found {}", documents.len());
+        findings.push(Finding { place: top, message });
+        return None;
+    };
+    let tree = document.parse(findings)?;
+    let mapping = tree.as_mapping()?;
+    unknown_keys(mapping, findings);
+    Node::read(&mut Reader { mapping, top, findings })
+}
+
+fn unknown_keys(mapping: &MarkedMappingNode, findings: &mut Vec<Finding>) {
+    let known = |key: &MarkedScalarNode| SETTINGS.iter().any(|s| s.name == key.as_str());
+    for key in mapping.keys().filter(|key| !known(key) && !yaml::is_duplicate(key.as_str())) {
+        let message = format!("unknown setting `{}`", key.as_str());
+        findings.push(Finding { place: yaml::scalar_place(key), message });
+    }
+}
+
+/// Reads settings from one mapping by their declaration.
+struct Reader<'a> {
+    mapping: &'a MarkedMappingNode,
+    top: Place,
+    findings: &'a mut Vec<Finding>,
+}
+
+impl Reader<'_> {
+    fn read<T: Value>(&mut self, name: &str) -> Option<T> {
+        let setting = SETTINGS.iter().find(|setting| setting.name == name)?;
+        if let Some(node) = self.mapping.get_node(name) {
+            let first = self.findings.len();
+            let value = T::read(node, setting.bounds, self.findings);
+            for finding in &mut self.findings[first..] {
+                finding.message = format!("`{name}`: {}", finding.message);
+            }
+            return value;
+        }
+        match setting.default {
+            Default::Required => {
+                let message = format!("`{name}` is missing");
+                self.findings.push(Finding { place: self.top, message });
+                None
+            }
+            Default::Unset => T::absent(),
+            Default::Text(text) => {
+                let tree = marked_yaml::parse_yaml(0, format!("{name}: {text}")).ok()?;
+                let node = tree.as_mapping()?.get_node(name)?.clone();
+                T::read(&node, setting.bounds, self.findings)
+            }
+        }
+    }
+}
+
+/// The settings reference page, in Markdown.
+pub fn reference() -> String {
+    let mut page = String::from(REFERENCE_HEAD);
+    for setting in SETTINGS {
+        let default = match setting.default {
+            Default::Required => "required".to_string(),
+            Default::Unset => "unset".to_string(),
+            Default::Text(text) => format!("`{text}`"),
+        };
+        let unit = if setting.unit.is_empty() { "-" } else { setting.unit };
+        let (name, kind, bounds) = (setting.name, setting.type_name, setting.bounds);
+        let description = setting.description.trim();
+        // Writing to a String can't fail.
+        let _ =
+            writeln!(page, "| `{name}` | {kind} | {default} | {unit} | {bounds} | {description} |");
+    }
+    page
+}
+
+const REFERENCE_HEAD: &str = "# Settings of an entry node
+
+A process reads one YAML file, named on its command line. `heatherseam --check
+FILE` tells all faults of a file with their places and starts nothing; `hsctl
+settings` prints this page. An unknown key is a fault.
+
+| Setting | Type | Default | Unit | Bounds | What it does |
+|---|---|---|---|---|---|
+";
--- /dev/null
+++ b/crates/version/conf/src/yaml.rs
@@ -0,0 +1,148 @@
+//! YAML text as nodes that know their place.
+//!
+//! Invariant: a fault in one key or value never hides another one: duplicate
+//! keys are reported and taken out, and the rest is read as usual.
+
+use marked_yaml::LoadError;
+use marked_yaml::LoaderOptions;
+use marked_yaml::Marker;
+use marked_yaml::Node;
+use marked_yaml::parse_yaml_with_options;
+use marked_yaml::types::MarkedScalarNode;
+
+use crate::report::Finding;
+use crate::report::Place;
+
+/// The first of the characters that stand in for a duplicate key, from a range
+/// that Unicode leaves to private use.
+const DUPLICATE_BASE: u32 = 0xE000;
+
+/// The most duplicate keys that are reported for one document.
+const MOST_DUPLICATES: u32 = 100;
+
+/// One document of a text.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// Its text, after as many empty lines as stand before it, so that lines
+    /// count as in the whole text.
+    text: String,
+}
+
+/// The documents of a text; those without content are left out.
+pub fn documents(text: &str) -> Vec<Document> {
+    let mut found = Vec::new();
+    let mut current = String::new();
+    for (index, line) in text.lines().enumerate() {
+        if is_separator(line) {
+            found.push(std::mem::replace(&mut current, "\n".repeat(index + 1)));
+            continue;
+        }
+        current.push_str(line);
+        current.push('\n');
+    }
+    found.push(current);
+    found.retain(|text| text.lines().any(has_content));
+    found.into_iter().map(|text| Document { text }).collect()
+}
+
+fn is_separator(line: &str) -> bool {
+    line == "---" || line.starts_with("--- #")
+}
+
+fn has_content(line: &str) -> bool {
+    let line = line.trim();
+    !line.is_empty() && !line.starts_with('#') && line != "..."
+}
+
+impl Document {
+    /// Reads the document, whose top must be a mapping. Faults go to `findings`;
+    /// without a result the text is not YAML.
+    pub fn parse(&self, findings: &mut Vec<Finding>) -> Option<Node> {
+        let mut text = self.text.clone();
+        for number in 0..MOST_DUPLICATES {
+            let options = LoaderOptions::default().error_on_duplicate_keys(true);
+            match parse_yaml_with_options(0, &text, options) {
+                Ok(node) => return Some(node),
+                Err(LoadError::DuplicateKey(duplicate)) => {
+                    findings.push(duplicate_finding(&duplicate.prev_key, &duplicate.key));
+                    text = without_key(&text, &duplicate.key, number);
+                }
+                Err(error) => {
+                    findings.push(load_finding(&error));
+                    return None;
+                }
+            }
+        }
+        None
+    }
+}
+
+/// Whether `key` stands in for a duplicate that was reported already.
+pub fn is_duplicate(key: &str) -> bool {
+    let last = DUPLICATE_BASE + MOST_DUPLICATES;
+    key.chars().next().is_some_and(|first| (DUPLICATE_BASE..last).contains(&u32::from(first)))
+}
+
+/// Where a node stands.
+pub fn place(node: &Node) -> Place {
+    match node {
+        Node::Scalar(scalar) => scalar_place(scalar),
+        _ => marker_place(node.span().start(), 1),
+    }
+}
+
+/// Where a scalar stands.
+pub fn scalar_place(scalar: &MarkedScalarNode) -> Place {
+    marker_place(scalar.span().start(), scalar.as_str().chars().count())
+}
+
+fn marker_place(marker: Option<&Marker>, length: usize) -> Place {
+    let (line, column) = marker.map_or((1, 1), |marker| (marker.line(), marker.column()));
+    Place { line, column, length: length.max(1) }
+}
+
+fn duplicate_finding(first: &MarkedScalarNode, again: &MarkedScalarNode) -> Finding {
+    let line = scalar_place(first).line;
+    let message = format!("duplicate key `{}`, first on line {line}", again.as_str());
+    Finding { place: scalar_place(again), message }
+}
+
+/// Replaces a key by private characters of the same length, so that no place
+/// moves and the rest of the document can still be read.
+fn without_key(text: &str, key: &MarkedScalarNode, number: u32) -> String {
+    let place = scalar_place(key);
+    let stand_in = char::from_u32(DUPLICATE_BASE + number).unwrap_or('\u{E000}');
+    let mut result = String::with_capacity(text.len());
+    for (index, line) in text.split_inclusive('\n').enumerate() {
+        if index + 1 != place.line {
+            result.push_str(line);
+            continue;
+        }
+        let quoted = line.chars().nth(place.column - 1).is_some_and(|c| c == '"' || c == '\'');
+        let start = place.column - 1 + usize::from(quoted);
+        let covered = start..start + place.length;
+        let letters = line.chars().enumerate();
+        result.extend(letters.map(|(at, c)| if covered.contains(&at) { stand_in } else { c }));
+    }
+    result
+}
+
+fn load_finding(error: &LoadError) -> Finding {
+    let (marker, message) = match error {
+        LoadError::TopLevelMustBeMapping(marker) | LoadError::TopLevelMustBeSequence(marker) => {
+            (Some(marker), "expected `key: value` lines".to_string())
+        }
+        LoadError::UnexpectedAnchor(marker) => {
+            (Some(marker), "anchors can't be used here".to_string())
+        }
+        LoadError::MappingKeyMustBeScalar(marker) => {
+            (Some(marker), "a key must be plain text".to_string())
+        }
+        LoadError::UnexpectedTag(marker) => (Some(marker), "tags can't be used here".to_string()),
+        LoadError::ScanError(marker, error) => {
+            (Some(marker), format!("not YAML: {}", error.info()))
+        }
+        LoadError::DuplicateKey(_) => (None, "duplicate key".to_string()),
+    };
+    Finding { place: marker_place(marker, 1), message }
+}
--- /dev/null
+++ b/crates/version/conf/tests/settings_faults.rs
@@ -0,0 +1,134 @@
+//! Every fault of a settings file is told at once, with its place.
+
+use conf::settings;
+use expect_test::Expect;
+use expect_test::expect;
+
+const GOOD: &str = "\
+name: ishara-jhb-1
+data_centre: johannesburg
+region: gauteng
+caller_address: 127.0.0.1:0
+peer_address: 127.0.0.1:0
+operator_address: 127.0.0.1:0
+platform: [127.0.0.1:7000]
+";
+
+fn check(text: &str, expected: Expect) {
+    let found = match settings::parse("node.yaml", text) {
+        Ok(node) => format!("{node:#?}"),
+        Err(report) => report.to_string(),
+    };
+    expected.assert_eq(&found);
+}
+
+#[test]
+fn good_file() {
+    check(
+        GOOD,
+        expect![[r#"
+        Node {
+            name: "ishara-jhb-1",
+            data_centre: "johannesburg",
+            region: "gauteng",
+            caller_address: 127.0.0.1:0,
+            peer_address: 127.0.0.1:0,
+            operator_address: 127.0.0.1:0,
+            advertise_caller: None,
+            advertise_peer: None,
+            platform: [
+                127.0.0.1:7000,
+            ],
+            seeds: [],
+            fleet_size: 6,
+            reserve: 1,
+            keep_ms: 2000,
+            ticket_capacity: 65536,
+            ticket_keep_ms: 600000,
+            ticket_block: 8,
+            stop_limit_ms: 60000,
+            platform_timeout_ms: 2000,
+            platform_calls: 20,
+            watchers: 2,
+            explain_capacity: 4096,
+            log: "info",
+            threads: 2,
+            seed: None,
+        }"#]],
+    );
+}
+
+#[test]
+fn three_faults() {
+    let text = GOOD.replace("name: ishara-jhb-1", "nmae: ishara-jhb-1") + "keep_ms: 5\n";
+    check(
+        &text,
+        expect![[r#"
+        node.yaml:1:1: `name` is missing
+        node.yaml:1:1: unknown setting `nmae`
+        node.yaml:8:10: `keep_ms`: expected a number from 100 to 60000, found `5`"#]],
+    );
+}
+
+#[test]
+fn fault_kinds() {
+    let text = format!(
+        "{GOOD}seeds: [1.2.3.4, 5.6.7.8:1, 'x']\nthreads: many\nseed: 1\nseed: 2\nthreads: 3\nlog: [info]\nfleet_size: -1\nregion: ''\n"
+    );
+    check(
+        &text,
+        expect![[r#"
+        node.yaml:8:9: `seeds`: expected an IP address and port such as 10.0.0.1:7000, found `1.2.3.4`
+        node.yaml:8:29: `seeds`: expected an IP address and port such as 10.0.0.1:7000, found `x`
+        node.yaml:9:10: `threads`: expected a whole number, found `many`
+        node.yaml:11:1: duplicate key `seed`, first on line 10
+        node.yaml:12:1: duplicate key `threads`, first on line 9
+        node.yaml:13:6: `log`: expected text, found a list
+        node.yaml:14:13: `fleet_size`: expected a whole number, found `-1`
+        node.yaml:15:1: duplicate key `region`, first on line 3"#]],
+    );
+}
+
+#[test]
+fn not_settings() {
+    check("", expect!["node.yaml:1:1: expected one document, found 0"]);
+    check("# nothing\n", expect!["node.yaml:1:1: expected one document, found 0"]);
+    check("- a\n", expect!["node.yaml:1:1: expected `key: value` lines"]);
+    check(
+        "name: [a\n",
+        expect!["node.yaml:2:1: not YAML: while parsing a flow sequence, expected ',' or ']'"],
+    );
+    check(&format!("{GOOD}---\n{GOOD}"), expect!["node.yaml:1:1: expected one document, found 2"]);
+    check("name: &a x\nregion: *a\n", expect!["node.yaml:1:10: anchors can't be used here"]);
+}
+
+#[test]
+fn shown_in_text() {
+    let text = GOOD.replace("region: gauteng", "regoin: gauteng") + "keep_ms: 5\n";
+    let report = settings::parse("node.yaml", &text).unwrap_err();
+    let mut shown = String::new();
+    let theme = miette::GraphicalTheme::unicode_nocolor();
+    miette::GraphicalReportHandler::new_themed(theme).render_report(&mut shown, &report).unwrap();
+    expect![[r#"
+          × node.yaml:1:1: `region` is missing
+          │ node.yaml:3:1: unknown setting `regoin`
+          │ node.yaml:8:10: `keep_ms`: expected a number from 100 to 60000, found `5`
+           ╭─[node.yaml:1:1]
+         1 │ name: ishara-jhb-1
+           · ┬
+           · ╰── `region` is missing
+         2 │ data_centre: johannesburg
+         3 │ regoin: gauteng
+           · ───┬──
+           ·    ╰── unknown setting `regoin`
+         4 │ caller_address: 127.0.0.1:0
+           ╰────
+           ╭─[node.yaml:8:10]
+         7 │ platform: [127.0.0.1:7000]
+         8 │ keep_ms: 5
+           ·          ┬
+           ·          ╰── `keep_ms`: expected a number from 100 to 60000, found `5`
+           ╰────
+    "#]]
+    .assert_eq(&shown);
+}
