conf: mend the text of the shown report's test and its imports

The commit before failed shown_in_text: expect-test counts indents from the least indented line, which the report's text does not have at the margin.

--- a/crates/version/conf/tests/settings_faults.rs
+++ b/crates/version/conf/tests/settings_faults.rs
@@ -1,9 +1,10 @@
 //! Every fault of a settings file is told at once, with its place.
 
-use conf::settings;
 use expect_test::Expect;
 use expect_test::expect;
 
+use conf::settings;
+
 const GOOD: &str = "\
 name: ishara-jhb-1
 data_centre: johannesburg
@@ -106,10 +107,12 @@
 fn shown_in_text() {
     let text = GOOD.replace("region: gauteng", "regoin: gauteng") + "keep_ms: 5\n";
     let report = settings::parse("node.yaml", &text).unwrap_err();
-    let mut shown = String::new();
+    // The first line stands at the margin, where expect-test counts indents from.
+    let mut shown = String::from("shown\n");
     let theme = miette::GraphicalTheme::unicode_nocolor();
     miette::GraphicalReportHandler::new_themed(theme).render_report(&mut shown, &report).unwrap();
     expect![[r#"
+        shown
           × node.yaml:1:1: `region` is missing
           │ node.yaml:3:1: unknown setting `regoin`
           │ node.yaml:8:10: `keep_ms`: expected a number from 100 to 60000, found `5`
