pool: a permit for each attempt, asked at the moment of sending

Cause: the gate knows servers, not requests; a cancelled attempt or a ticket whose holder was paused must be stopped after all waiting, too. Also: the upstream stand-in can host a part of a map (first_shard).

--- a/crates/connection/pool/src/exchange.rs
+++ b/crates/connection/pool/src/exchange.rs
@@ -22,6 +22,7 @@
 use crate::error::Lost;
 use crate::error::Unsent;
 use crate::lease::Lease;
+use crate::process::Permit;
 use crate::reply;
 use crate::reply::Reply;
 use crate::reply::Report;
@@ -43,12 +44,13 @@
     lease: &mut Lease,
     target: &Target,
     request: &Request,
+    permit: &dyn Permit,
     end: Instant,
 ) -> Result<Reply, Error> {
     ready(lease, end).await?;
     let left = end.saturating_duration_since(Instant::now());
     let message = request.message(target, left).ok_or(Error::NotSent(Unsent::Malformed))?;
-    if !lease.shared().gate.may_send(target.server) {
+    if !lease.shared().gate.may_send(target.server) || !permit.take() {
         return Err(Error::NotSent(Unsent::Gate));
     }
     let begin = Instant::now();
--- a/crates/connection/pool/src/process.rs
+++ b/crates/connection/pool/src/process.rs
@@ -54,6 +54,20 @@
     }
 }
 
+/// Decides at the moment of sending whether one attempt may still go out.
+pub trait Permit: Send + Sync {
+    /// Takes the right to send; called after the gate, right
+    /// before the request is handed to the HTTP library. After `false` nothing
+    /// of the request is sent.
+    fn take(&self) -> bool;
+}
+
+impl Permit for Open {
+    fn take(&self) -> bool {
+        true
+    }
+}
+
 /// All connections of a process to upstream servers; cheap to clone.
 #[derive(Clone)]
 pub struct Pool {
@@ -68,11 +82,23 @@
 
     /// Sends one attempt and waits for its reply until its deadline.
     pub async fn send(&self, target: &Target, request: &Request) -> Result<Reply, Error> {
+        self.send_with(target, request, &Open).await
+    }
+
+    /// [`Pool::send`] with a permit that is asked at the moment of sending.
+    ///
+    /// A request that the HTTP library hands back asks the permit again.
+    pub async fn send_with(
+        &self,
+        target: &Target,
+        request: &Request,
+        permit: &dyn Permit,
+    ) -> Result<Reply, Error> {
         let end = Instant::now() + request.deadline;
         for _ in 0..TRIES {
             let mut lease =
                 self.acquire(target, end, Pick::Newest).await.map_err(Error::NotSent)?;
-            match exchange::run(&mut lease, target, request, end).await {
+            match exchange::run(&mut lease, target, request, permit, end).await {
                 Err(Error::NotSent(Unsent::HandedBack)) => {}
                 done => return done,
             }
--- a/crates/fakes/examples/upstream.rs
+++ b/crates/fakes/examples/upstream.rs
@@ -31,6 +31,7 @@
     options.optopt("s", "service", "service name (search)", "NAME");
     options.optopt("m", "map", "shard map name (NAME-1)", "NAME");
     options.optopt("g", "groups", "groups, one a shard (3)", "N");
+    options.optopt("", "first-shard", "first group's shard number (0)", "N");
     options.optopt("r", "replicas", "servers of a group (3)", "N");
     options.optopt("d", "data-centres", "comma-separated names (a,b,c)", "NAMES");
     options.optopt("", "slots", "requests that a server runs at once (2)", "N");
@@ -64,6 +65,7 @@
         map: Arc::from(map),
         data_centres,
         groups: number(given, "groups", usual.groups)?,
+        first_shard: number(given, "first-shard", usual.first_shard)?,
         replicas: number(given, "replicas", usual.replicas)?,
         slots: number(given, "slots", usual.slots)?,
         queue: number(given, "queue", usual.queue)?,
--- a/crates/fakes/src/upstream/fleet.rs
+++ b/crates/fakes/src/upstream/fleet.rs
@@ -103,7 +103,7 @@
         for service in &settings.services {
             let service = Arc::new(service.clone());
             let mut map = Map { service: service.name.clone(), groups: Vec::new() };
-            for shard in 0..service.groups {
+            for shard in service.first_shard..service.first_shard + service.groups {
                 let mut group = Group { servers: Vec::new() };
                 for replica in 0..service.replicas {
                     let port = next_port(settings.base_port, shells.len())?;
--- a/crates/fakes/src/upstream/settings.rs
+++ b/crates/fakes/src/upstream/settings.rs
@@ -50,6 +50,8 @@
     pub version: u64,
     /// Groups of servers, one a shard.
     pub groups: u32,
+    /// The first group's shard number, where other processes host the others.
+    pub first_shard: u32,
     /// Servers of a group.
     pub replicas: u32,
     /// The data centres that the replicas of a group take in turn.
@@ -85,6 +87,7 @@
             map: Arc::from("search-1"),
             version: 1,
             groups: 3,
+            first_shard: 0,
             replicas: 3,
             data_centres: vec![Arc::from("a"), Arc::from("b"), Arc::from("c")],
             slots: 2,
--- a/crates/process/node/src/connection/respond.rs
+++ b/crates/process/node/src/connection/respond.rs
@@ -42,6 +42,7 @@
         | Cause::Unreachable
         | Cause::Refused
         | Cause::MinterGone
+        | Cause::Cancelled
         | Cause::NotReady => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
