node: the driver of one query

Cause: the state machine needs a thin shell that sends, cancels and wakes. Ruled out: a task an attempt; futures polled in the request's own task are cancelled by dropping and cost no spawn. Conclusion: what the machine asks for while an attempt is being sent is kept and carried out next, else a deadline that passes at that moment is lost.

--- a/crates/process/node/src/lib.rs
+++ b/crates/process/node/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod logging;
 pub mod metrics;
 pub mod options;
+pub mod request;
--- /dev/null
+++ b/crates/process/node/src/request.rs
@@ -0,0 +1,3 @@
+//! What lives as long as one request.
+
+pub mod drive;
--- /dev/null
+++ b/crates/process/node/src/request/drive.rs
@@ -0,0 +1,398 @@
+//! Carries out what the state machine of one query asks for.
+//!
+//! Invariant: an attempt is handed to its connection only while the machine
+//! still wants it and, for a non-idempotent request, the ticket table lets it
+//! be sent; both are asked at that moment. Dropping the driver cancels all.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranelift_entity::SecondaryMap;
+use futures::StreamExt;
+use futures::future::AbortHandle;
+use futures::future::Abortable;
+use futures::stream::FuturesUnordered;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use base::entity::Attempt;
+use base::entity::Server;
+use base::entity::Shard;
+use base::time::Time;
+use pool::error::Error;
+use pool::error::Unsent;
+use pool::process::Permit;
+use pool::process::Pool;
+use pool::reply::Reply;
+use pool::request::Request;
+use pool::request::Target;
+use query::context::Budget;
+use query::context::Chooser;
+use query::context::Context;
+use query::event;
+use query::event::Action;
+use query::event::End;
+use query::event::Event;
+use query::event::Final;
+use query::machine::Machine;
+use wire::caller::Priority;
+use wire::caller::Reason;
+use wire::id::Snapshot;
+
+/// What the driver needs from the rest of the node.
+pub trait Host: Send + Sync {
+    /// Where a server listens; `None` if it is no longer in any map.
+    fn target(&self, server: Server) -> Option<Target>;
+
+    /// An attempt is being handed to its connection.
+    fn sent(&self, now: Time, server: Server);
+
+    /// An attempt that was sent has ended.
+    fn ended(&self, now: Time, server: Server, result: &Result<Reply, Error>);
+
+    /// An attempt that was sent was given up.
+    fn cancelled(&self, now: Time, server: Server);
+}
+
+/// A right to send that outlives the machine's wish, such as a ticket.
+pub trait Claim: Send + Sync {
+    /// Takes the right; `false` if it has lapsed.
+    fn take(&self, now: Time) -> bool;
+
+    /// Gives it back: what was sent certainly did not run.
+    fn give_back(&self);
+}
+
+/// One query, ready to run.
+pub struct Job {
+    /// Its state machine.
+    pub machine: Machine,
+    /// The service's name.
+    pub service: Arc<str>,
+    /// How urgent it is.
+    pub priority: Priority,
+    /// What upstreams are sent.
+    pub body: Bytes,
+    /// Chooses replicas.
+    pub chooser: Box<dyn Chooser>,
+    /// Bounds the extra load.
+    pub budget: Box<dyn Budget>,
+    /// The ticket of a non-idempotent request.
+    pub claim: Option<Arc<dyn Claim>>,
+    /// Records each event and action; for `explain`.
+    pub recorder: Option<Box<dyn Recorder>>,
+}
+
+/// Notes what a query's machine was told and what it asked for.
+pub trait Recorder: Send {
+    /// One event and the actions that followed.
+    fn note(&mut self, now: Time, event: &Event, actions: &[Action]);
+
+    /// The trace as text.
+    fn text(&self) -> String;
+}
+
+/// What remains of a query that ended.
+pub struct Done {
+    /// The last word.
+    pub last: Final,
+    /// The recorded trace.
+    pub trace: Option<String>,
+}
+
+/// The machine and what it is lent.
+struct Core {
+    machine: Machine,
+    chooser: Box<dyn Chooser>,
+    budget: Box<dyn Budget>,
+    recorder: Option<Box<dyn Recorder>>,
+    /// What the machine asked for while an attempt was being sent.
+    pending: Vec<Action>,
+}
+
+impl Core {
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        let noted = self.recorder.is_some().then(|| event.clone());
+        let taken = std::mem::take(actions);
+        let mut context = Context::new(&mut *self.chooser, &mut *self.budget).with_actions(taken);
+        self.machine.handle(now, event, &mut context);
+        *actions = context.actions;
+        if let (Some(recorder), Some(event)) = (&mut self.recorder, noted) {
+            recorder.note(now, &event, actions);
+        }
+    }
+}
+
+type Attempting = Pin<Box<dyn Future<Output = (Attempt, Server, Result<Reply, Error>)> + Send>>;
+
+/// A running query.
+struct Driver {
+    core: Arc<Mutex<Core>>,
+    /// Told when something was added to what is pending.
+    asked: Arc<Notify>,
+    pool: Pool,
+    host: Arc<dyn Host>,
+    clock: Clock,
+    service: Arc<str>,
+    priority: Priority,
+    body: Bytes,
+    claim: Option<Arc<dyn Claim>>,
+    live: FuturesUnordered<Abortable<Attempting>>,
+    handles: SecondaryMap<Attempt, Option<AbortHandle>>,
+    wake: Time,
+}
+
+/// Runs a query to its end.
+pub async fn run(job: Job, pool: Pool, host: Arc<dyn Host>, clock: Clock) -> Done {
+    let core = Core {
+        machine: job.machine,
+        chooser: job.chooser,
+        budget: job.budget,
+        recorder: job.recorder,
+        pending: Vec::new(),
+    };
+    let mut driver = Driver {
+        core: Arc::new(Mutex::new(core)),
+        asked: Arc::new(Notify::new()),
+        pool,
+        host,
+        clock,
+        service: job.service,
+        priority: job.priority,
+        body: job.body,
+        claim: job.claim,
+        live: FuturesUnordered::new(),
+        handles: SecondaryMap::new(),
+        wake: Time::NEVER,
+    };
+    driver.run().await
+}
+
+impl Driver {
+    async fn run(&mut self) -> Done {
+        let mut actions = Vec::new();
+        let mut event = Some(Event::Start);
+        loop {
+            {
+                let mut core = self.core.lock();
+                if let Some(event) = event {
+                    core.handle(self.clock.now(), event, &mut actions);
+                }
+                actions.append(&mut core.pending);
+            }
+            if let Some(last) = self.carry_out(&mut actions) {
+                let trace = self.core.lock().recorder.as_ref().map(|recorder| recorder.text());
+                return Done { last, trace };
+            }
+            event = self.next().await;
+        }
+    }
+
+    /// Carries out the actions; gives the last word if it is among them.
+    fn carry_out(&mut self, actions: &mut Vec<Action>) -> Option<Final> {
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { attempt, server, shard, snapshot, deadline } => {
+                    self.send(attempt, server, shard, snapshot, deadline);
+                }
+                Action::Cancel { attempt } | Action::Discard { attempt } => {
+                    if let Some(handle) = self.handles[attempt].take() {
+                        handle.abort();
+                    }
+                }
+                Action::Wake { at } => self.wake = at,
+                Action::Finish(last) => return Some(last),
+            }
+        }
+        None
+    }
+
+    /// The next event; `None` if only something pending is to be carried out.
+    async fn next(&mut self) -> Option<Event> {
+        loop {
+            tokio::select! {
+                biased;
+                () = self.asked.notified() => return None,
+                Some(done) = self.live.next() => {
+                    // An aborted attempt has been told to the machine already.
+                    if let Ok((attempt, _, result)) = done {
+                        return Some(self.event(attempt, result));
+                    }
+                }
+                () = tokio::time::sleep_until(self.clock.instant(self.wake)) => {
+                    self.wake = Time::NEVER;
+                    return Some(Event::Timer);
+                }
+            }
+        }
+    }
+
+    fn event(&mut self, attempt: Attempt, result: Result<Reply, Error>) -> Event {
+        self.handles[attempt] = None;
+        match result {
+            Ok(reply) => Event::Replied { attempt, reply: read(reply) },
+            Err(error) => Event::Ended { attempt, end: end(&error) },
+        }
+    }
+
+    fn send(
+        &mut self,
+        attempt: Attempt,
+        server: Server,
+        shard: Shard,
+        snapshot: Snapshot,
+        deadline: Time,
+    ) {
+        let request = Request {
+            attempt: self.core.lock().machine.id(attempt),
+            service: Arc::clone(&self.service),
+            snapshot,
+            shard: shard.as_u32(),
+            deadline: deadline.since(self.clock.now()),
+            priority: self.priority,
+            non_idempotent: self.claim.is_some(),
+            body: self.body.clone(),
+        };
+        let right = Right {
+            core: Arc::clone(&self.core),
+            asked: Arc::clone(&self.asked),
+            host: Arc::clone(&self.host),
+            clock: self.clock,
+            claim: self.claim.clone(),
+            attempt,
+            server,
+            phase: Mutex::new(Phase::Waiting),
+        };
+        let pool = self.pool.clone();
+        let target = self.host.target(server);
+        let attempting: Attempting = Box::pin(async move {
+            let result = match target {
+                Some(target) => pool.send_with(&target, &request, &right).await,
+                None => Err(Error::NotSent(Unsent::Retired)),
+            };
+            right.end(&result);
+            (attempt, server, result)
+        });
+        let (handle, registration) = AbortHandle::new_pair();
+        self.handles[attempt] = Some(handle);
+        self.live.push(Abortable::new(attempting, registration));
+    }
+}
+
+/// How far one attempt came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It waits for its connection.
+    Waiting,
+    /// It was handed over.
+    Sent,
+    /// Its end was told to the host.
+    Ended,
+}
+
+/// The right of one attempt to be sent; tells the host how it ends.
+struct Right {
+    core: Arc<Mutex<Core>>,
+    asked: Arc<Notify>,
+    host: Arc<dyn Host>,
+    clock: Clock,
+    claim: Option<Arc<dyn Claim>>,
+    attempt: Attempt,
+    server: Server,
+    phase: Mutex<Phase>,
+}
+
+impl Right {
+    fn end(&self, result: &Result<Reply, Error>) {
+        let was = std::mem::replace(&mut *self.phase.lock(), Phase::Ended);
+        if was != Phase::Sent {
+            return;
+        }
+        self.host.ended(self.clock.now(), self.server, result);
+        let harmless = matches!(result, Err(Error::NotSent(_) | Error::Refused { .. }));
+        if let (true, Some(claim)) = (harmless, &self.claim) {
+            claim.give_back();
+        }
+    }
+}
+
+impl Permit for Right {
+    fn take(&self) -> bool {
+        let mut phase = self.phase.lock();
+        if *phase != Phase::Waiting {
+            // The library handed it back: the machine decides on another attempt.
+            return false;
+        }
+        let now = self.clock.now();
+        let mut core = self.core.lock();
+        if !core.machine.may_send(self.attempt) {
+            return false;
+        }
+        if self.claim.as_ref().is_some_and(|claim| !claim.take(now)) {
+            return false;
+        }
+        let mut actions = Vec::new();
+        core.handle(now, Event::Sent { attempt: self.attempt }, &mut actions);
+        if !actions.is_empty() {
+            core.pending.append(&mut actions);
+            self.asked.notify_one();
+        }
+        if core.machine.is_sealed() {
+            // The deadline passed at this very moment: the last word is said, so
+            // nothing may go out any more.
+            return false;
+        }
+        *phase = Phase::Sent;
+        self.host.sent(now, self.server);
+        true
+    }
+}
+
+impl Drop for Right {
+    fn drop(&mut self) {
+        if *self.phase.lock() == Phase::Sent {
+            self.host.cancelled(self.clock.now(), self.server);
+        }
+    }
+}
+
+/// The reply as the machine takes it; a body that is no JSON is not complete.
+fn read(reply: Reply) -> event::Reply {
+    let body = serde_json::from_slice(&reply.body);
+    event::Reply {
+        echo: reply.echo,
+        snapshot: reply.snapshot,
+        shard: reply.shard.map(Shard::from_u32),
+        complete: reply.complete && body.is_ok(),
+        body: body.unwrap_or_default(),
+    }
+}
+
+fn end(error: &Error) -> End {
+    match error {
+        Error::NotSent(why) => End::NotSent(reason(why)),
+        Error::Refused { retry_after, report } => {
+            End::Refused { retry_after: *retry_after, state: report.state }
+        }
+        Error::Unknown(_) => End::Unknown,
+    }
+}
+
+fn reason(why: &Unsent) -> Reason {
+    match why {
+        Unsent::Gate | Unsent::Retired => Reason::Leaving,
+        Unsent::Deadline => Reason::Deadline,
+        Unsent::NoShare
+        | Unsent::Full
+        | Unsent::Connect
+        | Unsent::HandedBack
+        | Unsent::Malformed => Reason::Unreachable,
+    }
+}
+
+/// The shortest time limit that a request may ask for.
+pub const LEAST_DEADLINE: Duration = Duration::from_millis(1);
