route: table of upstream servers and the choice of a replica

Cause: the query needs one place that knows which servers may get an attempt. Incarnations are opaque and have no order, so a server's state keeps the set of ended incarnations instead of the highest one; the first was ruled out since a stand-in's incarnations are hashes.

--- a/crates/connection/pool/src/error.rs
+++ b/crates/connection/pool/src/error.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::reply::Report;
+use wire::upstream::Report;
 
 /// An attempt without a reply.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/connection/pool/src/exchange.rs
+++ b/crates/connection/pool/src/exchange.rs
@@ -24,12 +24,12 @@
 use crate::lease::Lease;
 use crate::reply;
 use crate::reply::Reply;
-use crate::reply::Report;
 use crate::request;
 use crate::request::Message;
 use crate::request::Request;
 use crate::request::Target;
 use wire::upstream::Health;
+use wire::upstream::Report;
 
 /// What came back, read as far as it came.
 struct Raw {
--- a/crates/connection/pool/src/reply.rs
+++ b/crates/connection/pool/src/reply.rs
@@ -9,21 +9,9 @@
 use hyper::HeaderMap;
 
 use wire::id::Attempt;
-use wire::id::Incarnation;
 use wire::id::Snapshot;
 use wire::upstream;
-use wire::upstream::State;
-
-/// What a server says about itself on any reply.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Its life.
-    pub incarnation: Option<Incarnation>,
-    /// Whether it is cold, ready or draining.
-    pub state: Option<State>,
-    /// Requests that run or wait there.
-    pub load: Option<u32>,
-}
+use wire::upstream::Report;
 
 /// A reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,18 +36,6 @@
     headers.get(name)?.to_str().ok()
 }
 
-impl Report {
-    /// Reads the headers of any reply.
-    pub fn parse(headers: &HeaderMap) -> Self {
-        let incarnation = text(headers, upstream::INCARNATION)
-            .and_then(|text| u64::from_str_radix(text, 16).ok())
-            .map(Incarnation);
-        let state = text(headers, upstream::STATE).and_then(State::parse);
-        let load = text(headers, upstream::LOAD).and_then(|text| text.parse().ok());
-        Self { incarnation, state, load }
-    }
-}
-
 pub(crate) fn echo(headers: &HeaderMap) -> Option<Attempt> {
     text(headers, upstream::ATTEMPT)?.parse().ok()
 }
--- a/crates/connection/wire/src/upstream.rs
+++ b/crates/connection/wire/src/upstream.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use hyper::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -103,3 +104,26 @@
     /// The shard's number in the snapshot's map.
     pub shard: u32,
 }
+
+/// What a server says about itself on any reply.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Its life.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it is cold, ready or draining.
+    pub state: Option<State>,
+    /// Requests that run or wait there.
+    pub load: Option<u32>,
+}
+
+impl Report {
+    /// Reads the headers of any reply; what is absent or malformed is `None`.
+    pub fn parse(headers: &HeaderMap) -> Self {
+        let text = |name: &str| headers.get(name)?.to_str().ok();
+        let incarnation =
+            text(INCARNATION).and_then(|text| u64::from_str_radix(text, 16).ok()).map(Incarnation);
+        let state = text(STATE).and_then(State::parse);
+        let load = text(LOAD).and_then(|text| text.parse().ok());
+        Self { incarnation, state, load }
+    }
+}
--- /dev/null
+++ b/crates/version/route/src/choice/least_of_two.rs
@@ -0,0 +1,27 @@
+//! The one of two drawn that has fewer requests.
+//!
+//! Invariant: own requests decide; the believed load, in which aged reports
+//! count, only breaks a tie.
+
+use std::cmp::Ordering;
+
+use rand_chacha::ChaCha8Rng;
+
+use crate::choice::Policy;
+use crate::choice::View;
+use crate::choice::two;
+use base::entity::Server;
+
+pub(super) struct LeastOfTwo;
+
+impl Policy for LeastOfTwo {
+    fn pick(&self, view: &View<'_>, replicas: &[Server], rng: &mut ChaCha8Rng) -> usize {
+        let (first, second) = two(rng, replicas.len());
+        let (a, b) = (replicas[first], replicas[second]);
+        let own = view.in_flight(a).cmp(&view.in_flight(b));
+        match own.then(view.believed(a).total_cmp(&view.believed(b))) {
+            Ordering::Greater => second,
+            Ordering::Less | Ordering::Equal => first,
+        }
+    }
+}
--- /dev/null
+++ b/crates/version/route/src/choice/random.rs
@@ -0,0 +1,18 @@
+//! Any replica.
+//!
+//! Invariant: every replica is as likely as any other.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::choice::Policy;
+use crate::choice::View;
+use base::entity::Server;
+
+pub(super) struct Random;
+
+impl Policy for Random {
+    fn pick(&self, _: &View<'_>, replicas: &[Server], rng: &mut ChaCha8Rng) -> usize {
+        rng.random_range(0..replicas.len())
+    }
+}
--- /dev/null
+++ b/crates/version/route/src/mark.rs
@@ -0,0 +1,28 @@
+//! What nodes tell each other about upstream servers.
+//!
+//! Invariant: a mark is about one incarnation and is never taken back, so marks
+//! can be spread in any order and any number of times.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use wire::id::Incarnation;
+
+/// An incarnation of a server that must get no new work: it is leaving, or
+/// another has taken its place.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Mark {
+    /// The server's name.
+    pub server: Arc<str>,
+    /// The incarnation that ended.
+    pub incarnation: Incarnation,
+}
+
+impl fmt::Display for Mark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} ended", self.server, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/version/route/src/table.rs
@@ -0,0 +1,360 @@
+//! The table of upstream servers of one process.
+//!
+//! The table takes in the catalog, own observations, health reports, the VM
+//! list and the peers' marks, and says which replicas may get an attempt and in
+//! which order. It holds no clock and no socket; the shell keeps it under a lock
+//! and asks [`Table::may_send`] again at the moment of sending.
+//!
+//! Invariant: a [`Server`] reference keeps its meaning for the life of the
+//! process; a name that comes back at the same address gets its reference back.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranelift_entity::PrimaryMap;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::choice;
+use crate::choice::Policy;
+use crate::health::Health;
+use crate::holding::Holdings;
+use crate::latency::Latency;
+use crate::leaving::Change;
+use crate::leaving::Lives;
+use crate::leaving::Source;
+use crate::load::Load;
+use crate::mark::Mark;
+use crate::observation::Observation;
+use crate::quantile::Window;
+use crate::ramp::Ramp;
+use crate::server::Record;
+use crate::server::Row;
+use crate::settings::Settings;
+use base::entity::Server;
+use base::entity::Shard;
+use base::time::Time;
+use conf::catalog::Catalog;
+use conf::object;
+use conf::object::Choice;
+use conf::object::Kind;
+use conf::object::Spec;
+use wire::platform::Vm;
+use wire::upstream;
+use wire::upstream::Report;
+
+/// The groups of one shard map, as references.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Map {
+    pub(crate) groups: Vec<Vec<Server>>,
+}
+
+/// What is known of one service.
+pub(crate) struct Service {
+    /// The map in use, then the older ones.
+    pub(crate) maps: Vec<Arc<str>>,
+    latencies: Window,
+}
+
+/// The upstream servers.
+pub struct Table {
+    pub(crate) settings: Settings,
+    pub(crate) servers: PrimaryMap<Server, Record>,
+    by_place: HashMap<(Arc<str>, SocketAddr), Server>,
+    pub(crate) lives: HashMap<Arc<str>, Lives>,
+    pub(crate) maps: BTreeMap<Arc<str>, Map>,
+    pub(crate) services: BTreeMap<Arc<str>, Service>,
+    pub(crate) nodes: Vec<Arc<str>>,
+    pub(crate) homes: HashMap<(Arc<str>, Shard), Option<Server>>,
+    pub(crate) policies: Vec<(Choice, Box<dyn Policy>)>,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) choices: u64,
+}
+
+impl Table {
+    /// A table without servers.
+    pub fn new(settings: Settings) -> Self {
+        let policies = Choice::ALL.into_iter().map(|name| (name, choice::new(name))).collect();
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            nodes: vec![Arc::clone(&settings.node)],
+            settings,
+            servers: PrimaryMap::new(),
+            by_place: HashMap::new(),
+            lives: HashMap::new(),
+            maps: BTreeMap::new(),
+            services: BTreeMap::new(),
+            homes: HashMap::new(),
+            policies,
+            choices: 0,
+        }
+    }
+
+    /// Takes in a catalog: its maps and services replace those before.
+    pub fn update(&mut self, catalog: &Catalog) {
+        for record in self.servers.values_mut() {
+            record.in_use = false;
+        }
+        self.maps.clear();
+        self.homes.clear();
+        for (name, spec) in catalog.of_kind(Kind::Map) {
+            if let Spec::Map(map) = spec {
+                let map = self.map(catalog, map);
+                self.maps.insert(Arc::clone(name), map);
+            }
+        }
+        let mut before = std::mem::take(&mut self.services);
+        for (name, spec) in catalog.of_kind(Kind::Service) {
+            let Spec::Service(service) = spec else { continue };
+            let mut maps = vec![Arc::clone(&service.map)];
+            maps.extend(service.older_maps.iter().cloned());
+            let latencies = before.remove(name).map(|old| old.latencies).unwrap_or_default();
+            self.services.insert(Arc::clone(name), Service { maps, latencies });
+        }
+    }
+
+    fn map(&mut self, catalog: &Catalog, map: &object::Map) -> Map {
+        let service = catalog.service(&map.service);
+        let slots = service.map_or(1, |service| service.slots);
+        let connections = service.map_or(1, |service| service.connections);
+        let mut groups = Vec::with_capacity(map.groups.len());
+        for group in &map.groups {
+            let mut servers = Vec::with_capacity(group.servers.len());
+            for server in &group.servers {
+                let reference = self.intern(server);
+                let record = &mut self.servers[reference];
+                record.in_use = true;
+                record.service = Arc::clone(&map.service);
+                record.slots = slots;
+                record.connections = connections;
+                servers.push(reference);
+            }
+            groups.push(servers);
+        }
+        Map { groups }
+    }
+
+    fn intern(&mut self, server: &object::Server) -> Server {
+        let place = (Arc::clone(&server.name), server.address);
+        let distance = self.settings.place.distance(&server.data_centre);
+        if let Some(found) = self.by_place.get(&place) {
+            let record = &mut self.servers[*found];
+            record.data_centre = Arc::clone(&server.data_centre);
+            record.distance = distance;
+            return *found;
+        }
+        let reference = self.servers.push(Record {
+            name: Arc::clone(&server.name),
+            address: server.address,
+            data_centre: Arc::clone(&server.data_centre),
+            distance,
+            service: Arc::from(""),
+            slots: 1,
+            connections: 1,
+            in_use: true,
+            load: Load::new(),
+            latency: Latency::new(),
+            health: Health::new(),
+            holdings: Holdings::new(),
+            ramp: Ramp::new(),
+            chosen: 0,
+        });
+        self.by_place.insert(place, reference);
+        reference
+    }
+
+    /// Takes in the names of the live nodes, this one included, over which home
+    /// servers are dealt.
+    pub fn nodes(&mut self, nodes: &[Arc<str>]) {
+        self.nodes = nodes.to_vec();
+        self.homes.clear();
+    }
+
+    /// Takes in what this node saw of an attempt; gives back new marks to spread.
+    pub fn observe(&mut self, now: Time, server: Server, seen: Observation) -> Vec<Mark> {
+        let record = &mut self.servers[server];
+        if seen == Observation::Sent {
+            record.load.begin();
+            return Vec::new();
+        }
+        record.load.end();
+        match seen {
+            Observation::Sent | Observation::NotSent => Vec::new(),
+            Observation::Replied { latency, report, snapshot, shard } => {
+                let marks = self.report(now, server, Source::Reply, report);
+                let record = &mut self.servers[server];
+                record.latency.sample(now, latency);
+                record.health.replied();
+                record.holdings.observe(now, &snapshot, shard, true);
+                self.sample(now, server, latency);
+                marks
+            }
+            Observation::Refused { retry_after, report } => {
+                record.health.refused(now, retry_after);
+                self.report(now, server, Source::Reply, report)
+            }
+            Observation::Lacks { report, snapshot, shard } => {
+                record.holdings.observe(now, &snapshot, shard, false);
+                self.report(now, server, Source::Reply, report)
+            }
+            Observation::Failed => {
+                record.health.failed(now);
+                Vec::new()
+            }
+            Observation::Cancelled { waited } => {
+                record.latency.at_least(now, waited);
+                self.sample(now, server, waited);
+                Vec::new()
+            }
+        }
+    }
+
+    fn sample(&mut self, now: Time, server: Server, latency: Duration) {
+        if let Some(service) = self.services.get_mut(&self.servers[server].service) {
+            service.latencies.sample(now, latency);
+        }
+    }
+
+    /// Takes in a health report; gives back new marks to spread.
+    pub fn health(&mut self, now: Time, server: Server, health: &upstream::Health) -> Vec<Mark> {
+        if health.server != self.servers[server].name {
+            log::warn!(target: "route", "{} answers as {}", self.servers[server].name, health.server);
+            return Vec::new();
+        }
+        let report = Report {
+            incarnation: Some(health.incarnation),
+            state: Some(health.state),
+            load: Some(health.load),
+        };
+        let marks = self.report(now, server, Source::Health, report);
+        let current = self.lives.get(&health.server).and_then(Lives::current);
+        if current == Some(health.incarnation) {
+            self.servers[server].holdings.report(now, &health.holds);
+        }
+        marks
+    }
+
+    /// Notes that a server's health endpoint gave no answer.
+    pub fn no_health(&mut self, now: Time, server: Server) {
+        self.servers[server].health.failed(now);
+    }
+
+    fn report(&mut self, now: Time, server: Server, source: Source, report: Report) -> Vec<Mark> {
+        let record = &mut self.servers[server];
+        let lives = self.lives.entry(Arc::clone(&record.name)).or_default();
+        let mut change = Change::default();
+        let state = report.state.unwrap_or_default();
+        if let Some(incarnation) = report.incarnation {
+            change = lives.report(source, incarnation, state);
+            if lives.current() != Some(incarnation) {
+                return marks(&record.name, change);
+            }
+        } else if state == upstream::State::Draining {
+            change = lives.drain();
+        }
+        if change.restarted {
+            record.restart(now);
+        }
+        if state == upstream::State::Cold {
+            record.ramp.cold(now);
+        }
+        if let Some(load) = report.load {
+            record.load.report(now, load);
+        }
+        marks(&record.name, change)
+    }
+
+    /// Takes in the VM list; gives back new marks to spread.
+    pub fn vms(&mut self, vms: &[Vm]) -> Vec<Mark> {
+        let mut all = Vec::new();
+        for vm in vms {
+            let lives = self.lives.entry(Arc::clone(&vm.name)).or_default();
+            all.extend(marks(&vm.name, lives.list(vm.life)));
+        }
+        all
+    }
+
+    /// Takes in a peer's mark; gives it back if it is new here.
+    pub fn mark(&mut self, mark: &Mark) -> Vec<Mark> {
+        let lives = self.lives.entry(Arc::clone(&mark.server)).or_default();
+        marks(&mark.server, lives.mark(mark.incarnation))
+    }
+
+    /// All marks, for a peer that is new.
+    pub fn marks(&self) -> Vec<Mark> {
+        let mut all = Vec::new();
+        for (name, lives) in &self.lives {
+            let mark = |incarnation| Mark { server: Arc::clone(name), incarnation };
+            all.extend(lives.ended().map(mark));
+        }
+        all.sort_unstable();
+        all
+    }
+
+    /// Whether a server may get new work now.
+    pub fn may_send(&self, server: Server) -> bool {
+        let Some(record) = self.servers.get(server) else { return false };
+        record.in_use && !self.is_leaving(record)
+    }
+
+    pub(crate) fn is_leaving(&self, record: &Record) -> bool {
+        self.lives.get(&record.name).is_some_and(Lives::is_leaving)
+    }
+
+    /// The delay after which a service's attempt is hedged, for a quantile in
+    /// percent; `None` while there are too few samples or if it is 100.
+    pub fn hedge_delay(&mut self, now: Time, service: &str, percent: f64) -> Option<Duration> {
+        self.services.get_mut(service)?.latencies.recent(now, percent)
+    }
+
+    /// All servers with their references, those out of use included.
+    pub fn iter(&self) -> impl Iterator<Item = (Server, &Record)> {
+        self.servers.iter()
+    }
+
+    /// One server.
+    pub fn get(&self, server: Server) -> Option<&Record> {
+        self.servers.get(server)
+    }
+
+    /// The server of a name that is in use.
+    pub fn find(&self, name: &str) -> Option<Server> {
+        let found = |(_, record): &(Server, &Record)| record.in_use && *record.name == *name;
+        self.servers.iter().find(found).map(|(server, _)| server)
+    }
+
+    /// The state of all servers.
+    pub fn dump(&self, now: Time) -> Vec<Row> {
+        let lives = |record: &Record| match self.lives.get(&record.name) {
+            Some(lives) => lives.to_string(),
+            None => "unknown".to_owned(),
+        };
+        let row = |record: &Record| record.row(lives(record), self.is_leaving(record), now);
+        self.servers.values().map(row).collect()
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (name, service) in &self.services {
+            writeln!(f, "{name}: {}", service.latencies)?;
+        }
+        for row in self.dump(Time::ZERO) {
+            writeln!(f, "  {row}")?;
+        }
+        Ok(())
+    }
+}
+
+fn marks(name: &Arc<str>, change: Change) -> Vec<Mark> {
+    let mark = |incarnation| Mark { server: Arc::clone(name), incarnation };
+    let marks: Vec<Mark> = change.ended.into_iter().map(mark).collect();
+    for mark in &marks {
+        log::info!(target: "route", "{mark}");
+    }
+    marks
+}
