conf: shapes of the objects and the check of an object as a whole

serde stops at the first fault and has no path for it, so a shape beside each struct tells all faults of a value with their paths.

--- a/crates/version/conf/src/lib.rs
+++ b/crates/version/conf/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod catalog;
 pub mod object;
 pub mod report;
+pub mod schema;
 pub mod settings;
+pub mod shape;
 pub mod value;
+pub mod verify;
 pub mod yaml;
--- a/crates/version/conf/src/object.rs
+++ b/crates/version/conf/src/object.rs
@@ -91,6 +91,18 @@
     Experiment(Experiment),
 }
 
+impl Spec {
+    /// The kind of object that says this.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Service(_) => Kind::Service,
+            Self::Map(_) => Kind::Map,
+            Self::Policy(_) => Kind::Policy,
+            Self::Experiment(_) => Kind::Experiment,
+        }
+    }
+}
+
 /// What a service does when not every shard answers in time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -284,6 +296,18 @@
     Concluded,
 }
 
+impl Stage {
+    /// Its name in objects and messages.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Draft => "draft",
+            Self::Running => "running",
+            Self::Stopped => "stopped",
+            Self::Concluded => "concluded",
+        }
+    }
+}
+
 /// An experiment that compares policies on one service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/version/conf/src/schema.rs
@@ -0,0 +1,147 @@
+//! The shapes of the four kinds of objects.
+//!
+//! Invariant: a value that fits its kind's shape is read by serde into the
+//! kind's struct, and what a struct is written as fits the shape. The shape
+//! exists beside the struct because serde stops at the first fault.
+
+use serde_json::Value;
+
+use crate::object::Experiment;
+use crate::object::Kind;
+use crate::object::Map;
+use crate::object::Policy;
+use crate::object::Service;
+use crate::object::Spec;
+use crate::shape::Field;
+use crate::shape::Finding;
+use crate::shape::Shape;
+
+const U32: Shape = Shape::Whole(u32::MAX as u64);
+const U64: Shape = Shape::Whole(u64::MAX);
+
+const SERVICE: Shape = Shape::Record(&[
+    Field::required("value", Shape::OneOf(&["tail", "coverage"])),
+    Field::required("deadline_ms", U32),
+    Field::required("policy", Shape::Text),
+    Field::required("map", Shape::Text),
+    Field::optional("older_maps", Shape::List(&Shape::Text)),
+    Field::required("slots", U32),
+    Field::required("connections", U32),
+]);
+
+const MAP: Shape = Shape::Record(&[
+    Field::required("service", Shape::Text),
+    Field::required("groups", Shape::List(&GROUP)),
+]);
+
+const GROUP: Shape = Shape::Record(&[Field::required("servers", Shape::List(&SERVER))]);
+
+const SERVER: Shape = Shape::Record(&[
+    Field::required("name", Shape::Text),
+    Field::required("address", Shape::Address),
+    Field::required("data_centre", Shape::Text),
+]);
+
+const POLICY: Shape = Shape::Record(&[
+    Field::optional(
+        "choice",
+        Shape::OneOf(&["random", "round_robin", "least_of_two", "latency", "home"]),
+    ),
+    Field::optional(
+        "hedge",
+        Shape::Record(&[
+            Field::optional("quantile_percent", Shape::Decimal),
+            Field::optional("budget_percent", Shape::Decimal),
+        ]),
+    ),
+    Field::optional(
+        "retry",
+        Shape::Record(&[
+            Field::optional("attempts", U32),
+            Field::optional("budget_percent", Shape::Decimal),
+        ]),
+    ),
+    Field::optional(
+        "admit",
+        Shape::Record(&[
+            Field::optional("most_running", U32),
+            Field::optional("most_waiting", U32),
+            Field::optional("learn", Shape::Flag),
+            Field::optional("deadline_aware", Shape::Flag),
+        ]),
+    ),
+    Field::optional("slice_percent", U32),
+]);
+
+const EXPERIMENT: Shape = Shape::Record(&[
+    Field::required("service", Shape::Text),
+    Field::required("arms", Shape::List(&ARM)),
+    Field::optional("unit", Shape::OneOf(&["caller", "request"])),
+    Field::optional("stage", Shape::OneOf(&["draft", "running", "stopped", "concluded"])),
+    Field::optional("winner", Shape::Text),
+    Field::optional(
+        "guard",
+        Shape::Record(&[
+            Field::optional("p99_ratio", Shape::Decimal),
+            Field::optional("coverage_loss_points", Shape::Decimal),
+            Field::optional("least_requests", U64),
+        ]),
+    ),
+]);
+
+const ARM: Shape = Shape::Record(&[
+    Field::required("name", Shape::Text),
+    Field::required("policy", Shape::Text),
+    Field::required("weight", U32),
+]);
+
+/// The shape of a kind's spec.
+pub fn shape(kind: Kind) -> Shape {
+    match kind {
+        Kind::Service => SERVICE,
+        Kind::Map => MAP,
+        Kind::Policy => POLICY,
+        Kind::Experiment => EXPERIMENT,
+    }
+}
+
+/// Reads a spec of `kind`; all faults of its shape are told.
+pub fn read(kind: Kind, value: &Value) -> Result<Spec, Vec<Finding>> {
+    let mut findings = Vec::new();
+    shape(kind).check(value, "", &mut findings);
+    if !findings.is_empty() {
+        return Err(findings);
+    }
+    let value = without_nulls(value);
+    let spec = match kind {
+        Kind::Service => serde_json::from_value::<Service>(value).map(Spec::Service),
+        Kind::Map => serde_json::from_value::<Map>(value).map(Spec::Map),
+        Kind::Policy => serde_json::from_value::<Policy>(value).map(Spec::Policy),
+        Kind::Experiment => serde_json::from_value::<Experiment>(value).map(Spec::Experiment),
+    };
+    spec.map_err(|error| vec![Finding::new("", error.to_string())])
+}
+
+/// A null field is the same as one that is left out.
+fn without_nulls(value: &Value) -> Value {
+    match value {
+        Value::Object(object) => {
+            let fields = object.iter().filter(|(_, value)| !value.is_null());
+            fields.map(|(key, value)| (key.clone(), without_nulls(value))).collect()
+        }
+        Value::Array(entries) => entries.iter().map(without_nulls).collect(),
+        _ => value.clone(),
+    }
+}
+
+/// Writes a spec as the value that [`read`] reads.
+pub fn write(spec: &Spec) -> Value {
+    let value = match spec {
+        Spec::Service(service) => serde_json::to_value(service),
+        Spec::Map(map) => serde_json::to_value(map),
+        Spec::Policy(policy) => serde_json::to_value(policy),
+        Spec::Experiment(experiment) => serde_json::to_value(experiment),
+    };
+    // Only a map whose keys are no text can fail, and no spec has one.
+    without_nulls(&value.unwrap_or(Value::Null))
+}
