--- a/crates/process/node/src/request/drive.rs
+++ b/crates/process/node/src/request/drive.rs
@@ -48,14 +48,23 @@
     /// Where a server listens; `None` if it is no longer in any map.
     fn target(&self, server: Server) -> Option<Target>;
 
-    /// An attempt is being handed to its connection.
-    fn sent(&self, now: Time, server: Server);
+    /// An attempt was put into the line for a connection of `server`.
+    fn began(&self, now: Time, server: Server);
 
-    /// An attempt that was sent has ended.
-    fn ended(&self, now: Time, server: Server, result: &Result<Reply, Error>);
+    /// An attempt that began has ended; called once for each.
+    fn ended(&self, now: Time, attempt: &Ended<'_>);
+}
 
-    /// An attempt that was sent was given up.
-    fn cancelled(&self, now: Time, server: Server);
+/// An attempt that has ended.
+pub struct Ended<'a> {
+    /// Whom it asked.
+    pub server: Server,
+    /// What it asked.
+    pub request: &'a Request,
+    /// Since it was handed to its connection; `None` if it never was.
+    pub waited: Option<Duration>,
+    /// What came of it; `None` if it was given up.
+    pub result: Option<&'a Result<Reply, Error>>,
 }
 
 /// A right to send that outlives the machine's wish, such as a ticket.
@@ -247,12 +256,13 @@
         snapshot: Snapshot,
         deadline: Time,
     ) {
+        let now = self.clock.now();
         let request = Request {
             attempt: self.core.lock().machine.id(attempt),
             service: Arc::clone(&self.service),
             snapshot,
             shard: shard.as_u32(),
-            deadline: deadline.since(self.clock.now()),
+            deadline: deadline.since(now),
             priority: self.priority,
             non_idempotent: self.claim.is_some(),
             body: self.body.clone(),
@@ -265,16 +275,18 @@
             claim: self.claim.clone(),
             attempt,
             server,
+            request,
             phase: Mutex::new(Phase::Waiting),
         };
+        self.host.began(now, server);
         let pool = self.pool.clone();
         let target = self.host.target(server);
         let attempting: Attempting = Box::pin(async move {
             let result = match target {
-                Some(target) => pool.send_with(&target, &request, &right).await,
+                Some(target) => pool.send_with(&target, &right.request, &right).await,
                 None => Err(Error::NotSent(Unsent::Retired)),
             };
-            right.end(&result);
+            right.end(Some(&result));
             (attempt, server, result)
         });
         let (handle, registration) = AbortHandle::new_pair();
@@ -288,8 +300,8 @@
 enum Phase {
     /// It waits for its connection.
     Waiting,
-    /// It was handed over.
-    Sent,
+    /// It was handed over, at this time.
+    Sent(Time),
     /// Its end was told to the host.
     Ended,
 }
@@ -303,18 +315,23 @@
     claim: Option<Arc<dyn Claim>>,
     attempt: Attempt,
     server: Server,
+    request: Request,
     phase: Mutex<Phase>,
 }
 
 impl Right {
-    fn end(&self, result: &Result<Reply, Error>) {
+    fn end(&self, result: Option<&Result<Reply, Error>>) {
         let was = std::mem::replace(&mut *self.phase.lock(), Phase::Ended);
-        if was != Phase::Sent {
-            return;
-        }
-        self.host.ended(self.clock.now(), self.server, result);
-        let harmless = matches!(result, Err(Error::NotSent(_) | Error::Refused { .. }));
-        if let (true, Some(claim)) = (harmless, &self.claim) {
+        let now = self.clock.now();
+        let waited = match was {
+            Phase::Ended => return,
+            Phase::Waiting => None,
+            Phase::Sent(at) => Some(now.since(at)),
+        };
+        let ended = Ended { server: self.server, request: &self.request, waited, result };
+        self.host.ended(now, &ended);
+        let harmless = matches!(result, Some(Err(Error::NotSent(_) | Error::Refused { .. })));
+        if let (true, true, Some(claim)) = (waited.is_some(), harmless, &self.claim) {
             claim.give_back();
         }
     }
@@ -346,17 +363,14 @@
             // nothing may go out any more.
             return false;
         }
-        *phase = Phase::Sent;
-        self.host.sent(now, self.server);
+        *phase = Phase::Sent(now);
         true
     }
 }
 
 impl Drop for Right {
     fn drop(&mut self) {
-        if *self.phase.lock() == Phase::Sent {
-            self.host.cancelled(self.clock.now(), self.server);
-        }
+        self.end(None);
     }
 }
 
