query: traces: recorded, printed, replayed and verified; file tests

A trace holds the plan, the events, the advice and the actions, so that the printed form can be replayed. Attempts that were never sent no longer use up a shard's attempts where coverage is valued; a server's wish when to be asked again holds for its own shard only; a restart is weighed once for each point in time, since it looks at every shard.

--- a/crates/request/query/src/last.rs
+++ b/crates/request/query/src/last.rs
@@ -87,6 +87,7 @@
         self.seal();
         let retry_after = match cause {
             Cause::Invalid | Cause::Cancelled => None,
+            _ if self.plan.non_idempotent && outcome == Outcome::Unknown => None,
             _ => Some(self.retry_after.unwrap_or(Self::RETRY_AFTER)),
         };
         let refusal = Refusal { outcome, cause, retry_after, sends: self.sends };
--- a/crates/request/query/src/lib.rs
+++ b/crates/request/query/src/lib.rs
@@ -1,13 +1,21 @@
 //! The life of one query: fan-out, coverage, merge, hedging and retries,
-//! without I/O.
+//! without I/O; and its trace: recorded, printed, replayed and verified.
 
 #![deny(missing_docs)]
 
 pub mod alarm;
+mod attempt;
 pub mod budget;
 pub mod context;
 pub mod event;
 mod last;
 pub mod machine;
+mod pin;
 pub mod plan;
+pub mod read;
+pub mod record;
+pub mod replay;
 pub mod slot;
+pub mod trace;
+pub mod verify;
+mod write;
--- a/crates/request/query/src/plan.rs
+++ b/crates/request/query/src/plan.rs
@@ -33,8 +33,8 @@
     pub attempts: u32,
     /// The pause before a server is asked again, doubled after each attempt.
     pub pause: Duration,
-    /// How long a shard is waited for that no server can answer; only where
-    /// coverage is valued.
+    /// How long a shard is waited for that no server can answer or be sent to;
+    /// only where coverage is valued, and up to the deadline at most.
     pub replica_wait: Duration,
     /// The time that must be left for a restart at another snapshot.
     pub restart_left: Duration,
@@ -48,7 +48,7 @@
             hedge: true,
             attempts: 3,
             pause: Duration::from_millis(2),
-            replica_wait: Duration::from_millis(100),
+            replica_wait: Self::NO_LIMIT,
             restart_left: Duration::from_millis(50),
             way: Duration::from_millis(2),
         }
@@ -56,6 +56,9 @@
 }
 
 impl Settings {
+    /// Longer than any deadline.
+    pub const NO_LIMIT: Duration = Duration::from_secs(3600);
+
     /// The settings that `policy` asks for.
     pub fn with_policy(policy: &Policy) -> Self {
         Self {
--- /dev/null
+++ b/crates/request/query/src/read.rs
@@ -0,0 +1,247 @@
+//! Reads the text form of a trace.
+//!
+//! Invariant: all findings are collected with their line and told together.
+//! Lines about actions are skipped; a replay makes them anew.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::event::End;
+use crate::event::Event;
+use crate::event::Reply;
+use crate::plan::Plan;
+use crate::plan::Target;
+use crate::trace::Advice;
+use crate::trace::Line;
+use crate::trace::Trace;
+use crate::trace::What;
+use crate::write::NONE;
+use base::entity::Attempt;
+use base::entity::Server;
+use base::entity::Shard;
+use base::time::Time;
+use conf::object::Value;
+use wire::caller::Reason;
+use wire::id::Incarnation;
+use wire::id::Snapshot;
+use wire::upstream::State;
+
+/// Lines that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Unreadable(
+    /// The line numbers (from 1) with their text.
+    pub Vec<(usize, String)>,
+);
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|(line, text)| writeln!(f, "line {line}: can't read `{text}`"))
+    }
+}
+
+impl FromStr for Trace {
+    type Err = Unreadable;
+
+    fn from_str(text: &str) -> Result<Self, Unreadable> {
+        let plan = Plan::new(Incarnation(0), 0, Vec::new(), Time::from_millis(1000));
+        let mut trace = Self { plan, lines: Vec::new() };
+        let mut findings = Vec::new();
+        for (index, line) in text.lines().enumerate() {
+            if trace.read_line(line.trim()).is_none() {
+                findings.push((index + 1, line.to_owned()));
+            }
+        }
+        if findings.is_empty() { Ok(trace) } else { Err(Unreadable(findings)) }
+    }
+}
+
+impl Trace {
+    fn read_line(&mut self, text: &str) -> Option<()> {
+        if text.is_empty() {
+            return Some(());
+        }
+        if let Some(directive) = text.strip_prefix(';') {
+            let (key, value) = directive.split_once(':')?;
+            return self.plan.read_directive(key.trim(), value.trim());
+        }
+        let mut words = text.split_whitespace();
+        let at = time(words.next()?)?;
+        let what = match words.next()? {
+            ">" => What::Event(event(&mut words)?),
+            "=" => What::Advice(advice(&mut words)?),
+            "<" => return Some(()),
+            _ => return None,
+        };
+        self.lines.push(Line { at, what });
+        words.next().is_none().then_some(())
+    }
+}
+
+impl Plan {
+    fn read_directive(&mut self, key: &str, value: &str) -> Option<()> {
+        let settings = &mut self.settings;
+        match key {
+            "case" => {}
+            "request" => {
+                let (node, request) = value.split_once('-')?;
+                self.node = Incarnation(u64::from_str_radix(node, 16).ok()?);
+                self.request = u64::from_str_radix(request, 16).ok()?;
+            }
+            "target" => self.targets.push(target(value)?),
+            "deadline" => {
+                self.deadline = time(value)?;
+                self.slice = self.slice.min(self.deadline);
+            }
+            "value" => match value.strip_prefix("tail ") {
+                Some(slice) => {
+                    self.value = Value::Tail;
+                    self.slice = time(slice)?;
+                }
+                None if value == "coverage" => self.value = Value::Coverage,
+                None => return None,
+            },
+            "min_version" => self.min_version = value.parse().ok()?,
+            "non_idempotent" => self.non_idempotent = value.parse().ok()?,
+            "hedge" => settings.hedge = value.parse().ok()?,
+            "attempts" => settings.attempts = value.parse().ok()?,
+            "pause" => settings.pause = duration(value)?,
+            "replica_wait" => settings.replica_wait = duration(value)?,
+            "restart_left" => settings.restart_left = duration(value)?,
+            "way" => settings.way = duration(value)?,
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+type Words<'a> = std::str::SplitWhitespace<'a>;
+
+fn event(words: &mut Words<'_>) -> Option<Event> {
+    Some(match words.next()? {
+        "start" => Event::Start,
+        "sent" => Event::Sent { attempt: attempt(words.next()?)? },
+        "reply" => Event::Replied { attempt: attempt(words.next()?)?, reply: reply(words)? },
+        "ended" => Event::Ended { attempt: attempt(words.next()?)?, end: end(words)? },
+        "timer" => Event::Timer,
+        "caller_gone" => Event::CallerGone,
+        _ => return None,
+    })
+}
+
+fn reply(words: &mut Words<'_>) -> Option<Reply> {
+    let complete = match words.next()? {
+        "whole" => true,
+        "cut" => false,
+        _ => return None,
+    };
+    Some(Reply {
+        complete,
+        echo: optional(words.next()?, |text| text.parse().ok())?,
+        snapshot: optional(words.next()?, snapshot)?,
+        shard: optional(words.next()?, shard)?,
+        body: serde_json::Value::Null,
+    })
+}
+
+fn end(words: &mut Words<'_>) -> Option<End> {
+    Some(match words.next()? {
+        "not_sent" => End::NotSent(reason(words.next()?)?),
+        "unknown" => End::Unknown,
+        "refused" => {
+            let mut retry_after = None;
+            let mut state = None;
+            while let Some(word) = words.next() {
+                match word {
+                    "after" => retry_after = Some(duration(words.next()?)?),
+                    word => state = Some(State::parse(word)?),
+                }
+            }
+            End::Refused { retry_after, state }
+        }
+        _ => return None,
+    })
+}
+
+fn advice(words: &mut Words<'_>) -> Option<Advice> {
+    let allowed = |word| match word {
+        "allowed" => Some(true),
+        "denied" => Some(false),
+        _ => None,
+    };
+    Some(match words.next()? {
+        "choose" => {
+            let shard = shard(words.next()?)?;
+            let choice = match words.next()? {
+                NONE => Err(reason(words.next()?)?),
+                word => Ok(server(word)?),
+            };
+            Advice::Choose { shard, choice }
+        }
+        "lacks" => {
+            let snapshot = snapshot(words.next()?)?;
+            Advice::Lacks { snapshot, shard: shard(words.next()?)? }
+        }
+        "delay" => {
+            let server = server(words.next()?)?;
+            Advice::Delay { server, delay: duration(words.next()?)? }
+        }
+        "hedge" => Advice::Hedge(allowed(words.next()?)?),
+        "retry" => Advice::Retry(allowed(words.next()?)?),
+        _ => return None,
+    })
+}
+
+/// Reads a word that may be [`NONE`]; the outer `None` is an error.
+fn optional<T>(word: &str, read: impl Fn(&str) -> Option<T>) -> Option<Option<T>> {
+    if word == NONE { Some(None) } else { read(word).map(Some) }
+}
+
+fn number(word: &str, prefix: &str) -> Option<u32> {
+    word.strip_prefix(prefix)?.parse().ok()
+}
+
+fn attempt(word: &str) -> Option<Attempt> {
+    number(word, "attempt").map(Attempt::from_u32)
+}
+
+fn shard(word: &str) -> Option<Shard> {
+    number(word, "shard").map(Shard::from_u32)
+}
+
+fn server(word: &str) -> Option<Server> {
+    number(word, "server").map(Server::from_u32)
+}
+
+fn snapshot(word: &str) -> Option<Snapshot> {
+    let (map, version) = word.rsplit_once('@')?;
+    Some(Snapshot { version: version.parse().ok()?, map: Arc::from(map) })
+}
+
+fn reason(word: &str) -> Option<Reason> {
+    serde_json::from_value(serde_json::Value::String(word.to_owned())).ok()
+}
+
+/// Reads milliseconds with up to three decimals: `12ms`, `12.3ms`.
+fn time(word: &str) -> Option<Time> {
+    let word = word.strip_suffix("ms")?;
+    let (whole, part) = word.split_once('.').unwrap_or((word, "0"));
+    let (whole, part): (u64, u64) = (whole.parse().ok()?, format!("{part:0<3}").parse().ok()?);
+    (part < 1000).then(|| Time(whole.saturating_mul(1000).saturating_add(part)))
+}
+
+fn duration(word: &str) -> Option<Duration> {
+    time(word).map(|time| time.since(Time::ZERO))
+}
+
+fn target(text: &str) -> Option<Target> {
+    let (name, ranges) = text.split_once(' ')?;
+    let mut shards = Vec::new();
+    for range in ranges.split(',').filter(|range| *range != NONE) {
+        let (first, last) = range.split_once('-').unwrap_or((range, range));
+        let (first, last): (u32, u32) = (first.parse().ok()?, last.parse().ok()?);
+        shards.extend((first..=last).map(Shard::from_u32));
+    }
+    Some(Target { snapshot: snapshot(name)?, shards: shards.into() })
+}
--- a/crates/request/query/src/slot.rs
+++ b/crates/request/query/src/slot.rs
@@ -3,6 +3,8 @@
 //! Invariant: the attempts of a slot form a list from the newest to the oldest,
 //! so that neither a slot nor an attempt owns an allocation.
 
+use std::time::Duration;
+
 use base::entity::Attempt;
 use base::entity::Server;
 use base::entity::Shard;
@@ -35,6 +37,8 @@
     pub newest: Option<Attempt>,
     /// Why the last attempt failed.
     pub reason: Option<Reason>,
+    /// When the server that last refused wants to be asked again.
+    pub retry_after: Option<Duration>,
     /// When to hedge, or to try again if no attempt is live.
     pub alarm: Time,
     /// When it was first found that no server can answer.
@@ -51,6 +55,7 @@
             live: 0,
             newest: None,
             reason: None,
+            retry_after: None,
             alarm: Time::NEVER,
             lost_at: None,
         }
--- /dev/null
+++ b/crates/request/query/src/write.rs
@@ -0,0 +1,195 @@
+//! The text form of a trace.
+//!
+//! Invariant: [`crate::read`] reads back what this writes, but for actions,
+//! which are only compared.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::event::Action;
+use crate::event::Answer;
+use crate::event::End;
+use crate::event::Event;
+use crate::event::Final;
+use crate::event::Refusal;
+use crate::event::Reply;
+use crate::plan::Plan;
+use crate::trace::Advice;
+use crate::trace::Line;
+use crate::trace::Trace;
+use crate::trace::What;
+use base::entity::Shard;
+use base::time::Time;
+use conf::object::Value;
+use wire::caller::Missing;
+
+/// Written for what is absent.
+pub(crate) const NONE: &str = "none";
+
+pub(crate) fn span(span: Duration) -> Time {
+    Time::ZERO + span
+}
+
+impl fmt::Display for Trace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.plan)?;
+        self.lines.iter().try_for_each(|line| writeln!(f, "{line}"))
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "; request: {}-{:x}", self.node, self.request)?;
+        for target in &self.targets {
+            let shards = Ranges(target.shards.iter().copied().map(Shard::as_u32).collect());
+            writeln!(f, "; target: {} {shards}", target.snapshot)?;
+        }
+        writeln!(f, "; deadline: {}", self.deadline)?;
+        match self.value {
+            Value::Tail => writeln!(f, "; value: tail {}", self.slice)?,
+            Value::Coverage => writeln!(f, "; value: coverage")?,
+        }
+        if self.min_version > 0 {
+            writeln!(f, "; min_version: {}", self.min_version)?;
+        }
+        if self.non_idempotent {
+            writeln!(f, "; non_idempotent: true")?;
+        }
+        let settings = &self.settings;
+        writeln!(f, "; hedge: {}", settings.hedge)?;
+        writeln!(f, "; attempts: {}", settings.attempts)?;
+        writeln!(f, "; pause: {}", span(settings.pause))?;
+        writeln!(f, "; replica_wait: {}", span(settings.replica_wait))?;
+        writeln!(f, "; restart_left: {}", span(settings.restart_left))?;
+        writeln!(f, "; way: {}", span(settings.way))
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ", self.at)?;
+        match &self.what {
+            What::Event(event) => write!(f, "> {event}"),
+            What::Advice(advice) => write!(f, "= {advice}"),
+            What::Action(action) => write!(f, "< {action}"),
+        }
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Start => f.write_str("start"),
+            Self::Sent { attempt } => write!(f, "sent {attempt}"),
+            Self::Replied { attempt, reply } => write!(f, "reply {attempt} {reply}"),
+            Self::Ended { attempt, end } => write!(f, "ended {attempt} {end}"),
+            Self::Timer => f.write_str("timer"),
+            Self::CallerGone => f.write_str("caller_gone"),
+        }
+    }
+}
+
+impl fmt::Display for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.complete { "whole" } else { "cut" })?;
+        match self.echo {
+            Some(echo) => write!(f, " {echo}")?,
+            None => write!(f, " {NONE}")?,
+        }
+        match &self.snapshot {
+            Some(snapshot) => write!(f, " {snapshot}")?,
+            None => write!(f, " {NONE}")?,
+        }
+        match self.shard {
+            Some(shard) => write!(f, " {shard}"),
+            None => write!(f, " {NONE}"),
+        }
+    }
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(reason) => write!(f, "not_sent {reason}"),
+            Self::Refused { retry_after, state } => {
+                f.write_str("refused")?;
+                if let Some(after) = retry_after {
+                    write!(f, " after {}", span(*after))?;
+                }
+                state.map_or(Ok(()), |state| write!(f, " {state}"))
+            }
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+
+impl fmt::Display for Advice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let word = |allowed: &bool| if *allowed { "allowed" } else { "denied" };
+        match self {
+            Self::Choose { shard, choice: Ok(server) } => write!(f, "choose {shard} {server}"),
+            Self::Choose { shard, choice: Err(reason) } => {
+                write!(f, "choose {shard} {NONE} {reason}")
+            }
+            Self::Lacks { snapshot, shard } => write!(f, "lacks {snapshot} {shard}"),
+            Self::Delay { server, delay } => write!(f, "delay {server} {}", span(*delay)),
+            Self::Hedge(allowed) => write!(f, "hedge {}", word(allowed)),
+            Self::Retry(allowed) => write!(f, "retry {}", word(allowed)),
+        }
+    }
+}
+
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Send { attempt, server, shard, snapshot, deadline } => {
+                write!(f, "send {attempt} {server} {shard} {snapshot} until {deadline}")
+            }
+            Self::Cancel { attempt } => write!(f, "cancel {attempt}"),
+            Self::Discard { attempt } => write!(f, "discard {attempt}"),
+            Self::Wake { at } => write!(f, "wake {at}"),
+            Self::Finish(Final::Answer(answer)) => write!(f, "{answer}"),
+            Self::Finish(Final::Refusal(refusal)) => write!(f, "{refusal}"),
+        }
+    }
+}
+
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "answer {} covered {}", self.snapshot, Ranges(self.covered.clone()))?;
+        for Missing { shard, reason } in &self.missing {
+            write!(f, " missing {shard} {reason}")?;
+        }
+        write!(f, " sends {}", self.sends)
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "refusal {:?} {:?}", self.outcome, self.cause)?;
+        if let Some(after) = self.retry_after {
+            write!(f, " after {}", span(after))?;
+        }
+        write!(f, " sends {}", self.sends)
+    }
+}
+
+/// Numbers with runs drawn together: `0-3,7`.
+pub(crate) struct Ranges(pub(crate) Vec<u32>);
+
+impl fmt::Display for Ranges {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return f.write_str(NONE);
+        }
+        let runs = self.0.chunk_by(|left, right| left + 1 == *right);
+        for (index, run) in runs.enumerate() {
+            let comma = if index > 0 { "," } else { "" };
+            match run {
+                [first, .., last] => write!(f, "{comma}{first}-{last}")?,
+                _ => write!(f, "{comma}{}", run[0])?,
+            }
+        }
+        Ok(())
+    }
+}
