--- a/crates/request/admit/src/lib.rs
+++ b/crates/request/admit/src/lib.rs
@@ -1,3 +1,10 @@
-//! The `admit` crate of heatherseam; see its README.
+//! Which requests a node lets in, which wait, and which are refused at once.
 
 #![deny(missing_docs)]
+
+pub mod ask;
+pub mod expect;
+pub mod gate;
+pub mod limit;
+pub mod queue;
+pub mod settings;
