--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -12,12 +12,9 @@
 use std::fmt;
 use std::time::Duration;
 
-use base::time::Time;
-use conf::object::Admit;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use wire::caller::Cause;
 
 use crate::ask::Action;
 use crate::ask::Ask;
@@ -30,6 +27,9 @@
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::settings::Settings;
+use base::time::Time;
+use conf::object::Admit;
+use wire::caller::Cause;
 
 /// How long pressure counts as overload after its last sign.
 const PRESSURE: Duration = Duration::from_millis(500);
@@ -82,8 +82,9 @@
         self.settings.full_cost = shards.max(1);
     }
 
-    /// Decides on a request that arrives.
-    pub fn offer(&mut self, now: Time, ask: Ask) -> Verdict {
+    /// Decides on a request that arrives. When the queue is full, another one
+    /// may have to make room; `actions` then gets its refusal.
+    pub fn offer(&mut self, now: Time, ask: Ask, actions: &mut Vec<Action>) -> Verdict {
         let wait = self.wait(&ask);
         if self.is_hopeless(now + wait, &ask) {
             return Verdict::Refused(self.refuse(now, Cause::Deadline));
@@ -99,18 +100,16 @@
             return Verdict::Refused(self.refuse(now, Cause::Overload));
         }
         self.queue.push(Waiting { id, ask, until });
-        Verdict::Queued(id)
-    }
-
-    /// Makes room when the queue is longer than allowed; to be called after an
-    /// [`Gate::offer`] that queued. The request itself may be the one refused.
-    pub fn trim(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = Vec::new();
-        while self.queue.len() > self.settings.admit.most_waiting as usize {
-            let Some(victim) = self.queue.evict() else { break };
-            actions.push(Action::Refuse(victim.id, self.refuse(now, Cause::Overload)));
+        if self.queue.len() <= self.settings.admit.most_waiting as usize {
+            return Verdict::Queued(id);
         }
-        actions
+        let Some(victim) = self.queue.evict() else { return Verdict::Queued(id) };
+        let refusal = self.refuse(now, Cause::Overload);
+        if victim.id == id {
+            return Verdict::Refused(refusal);
+        }
+        actions.push(Action::Refuse(victim.id, refusal));
+        Verdict::Queued(id)
     }
 
     /// Notes how a request that ran ended.
--- a/crates/request/admit/src/queue.rs
+++ b/crates/request/admit/src/queue.rs
@@ -11,11 +11,10 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use base::time::Time;
-use wire::caller::Priority;
-
 use crate::ask::Ask;
 use crate::ask::Id;
+use base::time::Time;
+use wire::caller::Priority;
 
 /// A waiting request.
 #[derive(Clone, Debug, PartialEq, Eq)]
