peer: membership, spread, freshness, lookups, planned stops, mesh over tarpc

Cause: nodes must agree on members, configuration and leaving upstreams without a coordinator. Ruled out for stops: going as soon as another node is seen to stay, since three nodes that stop together can each rely on the next; a node asks one other to stay and is refused by one that itself asks or goes.

--- a/crates/process/peer/src/lib.rs
+++ b/crates/process/peer/src/lib.rs
@@ -1,3 +1,19 @@
-//! The `peer` crate of heatherseam; see its README.
+//! How entry nodes act together: who is there, what each must learn, who watches
+//! the platform, whom callers are told of, and how a node stops.
 
 #![deny(missing_docs)]
+
+mod connect;
+pub mod drain;
+pub mod fresh;
+pub mod link;
+pub mod lookup;
+mod loops;
+pub mod member;
+pub mod mesh;
+pub mod meter;
+pub mod record;
+mod serve;
+pub mod spread;
+pub mod stop;
+pub mod watcher;
--- /dev/null
+++ b/crates/process/peer/src/mesh.rs
@@ -0,0 +1,517 @@
+//! One node's part in the deployment: the state machines of this crate, their
+//! loops, and the calls that the node makes of its peers.
+//!
+//! Invariant: each state machine stands under its own lock, which is never held
+//! over an await.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::connect::Connections;
+use crate::connect::Failed;
+use crate::fresh;
+use crate::fresh::Fresh;
+use crate::link::Ack;
+use crate::link::Acted;
+use crate::link::HandOver;
+use crate::link::Host;
+use crate::link::News;
+use crate::link::Probe;
+use crate::lookup;
+use crate::loops;
+use crate::member;
+use crate::member::Summary;
+use crate::member::Table;
+use crate::meter::Counters;
+use crate::meter::Meter;
+use crate::record::Addresses;
+use crate::record::Record;
+use crate::serve;
+use crate::spread;
+use crate::spread::Mark;
+use crate::spread::Root;
+use crate::stop;
+use crate::stop::Phase;
+use crate::stop::Stop;
+use crate::watcher;
+use base::time::Time;
+use conf::object::Object;
+use wire::caller::Cause;
+use wire::caller::Entries;
+use wire::caller::Outcome;
+use wire::caller::Query;
+use wire::caller::Refusal;
+use wire::id::Incarnation;
+use wire::platform::Life;
+use wire::platform::Vms;
+
+/// The limit of a short call between peers.
+pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(1000);
+/// What a forwarded query may take beyond its own deadline.
+const FORWARD_MARGIN: Duration = Duration::from_millis(200);
+/// The limit of a forwarded query that names no deadline.
+const FORWARD_LIMIT: Duration = Duration::from_secs(30);
+
+/// How a node takes part.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node's name.
+    pub name: Arc<str>,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Where it listens; the peer port may be 0.
+    pub addresses: Addresses,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    /// Peer addresses to join by.
+    pub seeds: Vec<SocketAddr>,
+    /// Sets all random choices.
+    pub seed: u64,
+    /// How members are watched.
+    pub member: member::Settings,
+    /// When the node may be named.
+    pub fresh: fresh::Settings,
+    /// How it stops.
+    pub stop: stop::Settings,
+    /// The time between two digests.
+    pub digest_every: Duration,
+    /// How many peers what is new is pushed to.
+    pub fanout: usize,
+}
+
+impl Settings {
+    /// The usual settings.
+    pub fn new(
+        name: Arc<str>,
+        incarnation: Incarnation,
+        addresses: Addresses,
+        data_centre: Arc<str>,
+        region: Arc<str>,
+    ) -> Self {
+        Self {
+            name,
+            incarnation,
+            addresses,
+            data_centre,
+            region,
+            seeds: Vec::new(),
+            seed: incarnation.0,
+            member: member::Settings::default(),
+            fresh: fresh::Settings::default(),
+            stop: stop::Settings::default(),
+            digest_every: Duration::from_secs(1),
+            fanout: 3,
+        }
+    }
+
+    /// The same with peers to join by.
+    pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+}
+
+/// What the loops, the server and the node share.
+pub(crate) struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) host: Arc<dyn Host>,
+    pub(crate) start: Instant,
+    pub(crate) table: Mutex<Table>,
+    pub(crate) spread: Mutex<spread::State>,
+    pub(crate) fresh: Mutex<Fresh>,
+    pub(crate) stop: Mutex<Stop>,
+    pub(crate) pending: Mutex<News>,
+    pub(crate) news: Notify,
+    pub(crate) hints: Mutex<Vec<SocketAddr>>,
+    pub(crate) random: Mutex<ChaCha8Rng>,
+    pub(crate) meter: Arc<Meter>,
+    pub(crate) connections: Connections,
+}
+
+impl Core {
+    pub(crate) fn now(&self) -> Time {
+        Time::ZERO + self.start.elapsed()
+    }
+
+    /// Takes what is new from anywhere, tells the host and pushes it on.
+    pub(crate) fn receive(&self, news: News) {
+        let now = self.now();
+        let (objects, marks) = {
+            let mut spread = self.spread.lock();
+            (spread.admit(news.objects), spread.admit_marks(news.marks, now))
+        };
+        if objects.is_empty() && marks.is_empty() {
+            return;
+        }
+        if !objects.is_empty() {
+            self.host.offer(objects.clone());
+        }
+        if !marks.is_empty() {
+            self.host.marks(marks.clone());
+        }
+        let mut pending = self.pending.lock();
+        pending.objects.extend(objects);
+        pending.marks.extend(marks);
+        drop(pending);
+        self.news.notify_one();
+    }
+
+    /// What this node says when it probes `peer`.
+    pub(crate) fn probe_message(&self, peer: SocketAddr) -> Probe {
+        let mut table = self.table.lock();
+        let rumors = table.rumors();
+        Probe { from: table.own().clone(), opinions: table.opinions(peer), rumors }
+    }
+
+    pub(crate) fn answer_probe(&self, probe: Probe) -> Ack {
+        let now = self.now();
+        let longest_keep_ms =
+            u32::try_from(self.settings.stop.keep.as_millis()).unwrap_or(u32::MAX);
+        let mut table = self.table.lock();
+        table.merge(probe.opinions, now);
+        table.merge(vec![probe.from], now);
+        log_changes(&table.merge(probe.rumors, now));
+        Ack { record: table.own().clone(), rumors: table.rumors(), longest_keep_ms }
+    }
+
+    pub(crate) async fn probe_with(&self, peer: SocketAddr, probe: Probe) -> Result<Ack, Failed> {
+        let limit = self.settings.member.period / 2;
+        let probe = &probe;
+        let make = |client: crate::link::LinkClient, context| {
+            let probe = probe.clone();
+            async move { client.probe(context, probe).await }
+        };
+        self.connections.call(peer, limit, make).await
+    }
+
+    /// Takes the answer of a probe of `expected`, or of whoever is there.
+    pub(crate) fn take_ack(&self, expected: Option<Incarnation>, ack: Ack) {
+        let now = self.now();
+        let mut table = self.table.lock();
+        let expected = expected.unwrap_or(ack.record.incarnation);
+        log_changes(&table.acked(expected, ack.record, now));
+        log_changes(&table.merge(ack.rumors, now));
+    }
+
+    pub(crate) fn peer_of(&self, incarnation: Incarnation) -> Option<SocketAddr> {
+        self.table.lock().get(incarnation).map(|record| record.peer)
+    }
+}
+
+pub(crate) fn log_changes(changes: &[member::Change]) {
+    for change in changes {
+        log::info!(target: "peer", "{change}");
+    }
+}
+
+/// What is told when a forwarded query broke down on its way.
+pub(crate) fn lost_refusal() -> Acted {
+    Acted::Refusal(Refusal {
+        request: Arc::from(""),
+        outcome: Outcome::Unknown,
+        cause: Cause::MinterGone,
+        message: "the node that holds the ticket broke off".to_owned(),
+        retry_after_ms: None,
+    })
+}
+
+/// Where a ticket's table is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// On this node.
+    Own,
+    /// On the peer that minted it or took it over.
+    Peer(SocketAddr),
+    /// No node that is up has it.
+    Gone,
+}
+
+/// Why a query could not be forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ForwardError {
+    /// The table is on this node; run it here.
+    #[error("the ticket is this node's own")]
+    Own,
+    /// No node that is up has the table.
+    #[error("no node holds the ticket")]
+    Gone,
+    /// The query did not reach the node that has it.
+    #[error("the node that holds the ticket was not reached")]
+    NotSent,
+    /// The query was sent and not answered.
+    #[error("the node that holds the ticket did not answer")]
+    Lost,
+}
+
+/// One node's share of the experiments' results.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    /// The node.
+    pub node: Arc<str>,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its share; `None` if it did not answer.
+    pub bytes: Option<Vec<u8>>,
+}
+
+/// The state of a mesh, for dumps.
+#[derive(Clone, Debug, Serialize)]
+pub struct Dump {
+    /// All members, this node first.
+    pub members: Vec<Record>,
+    /// What data centres would tell each other.
+    pub summaries: Vec<Summary>,
+    /// The digest of what is known.
+    pub root: Root,
+    /// Objects and tombstones known.
+    pub objects: usize,
+    /// Leaving upstreams known.
+    pub marks: Vec<Mark>,
+    /// How far the node is in becoming fresh.
+    pub fresh: String,
+    /// How far it is in stopping.
+    pub phase: Phase,
+    /// The nodes of this data centre that hold the platform's watch.
+    pub watchers: Vec<Incarnation>,
+    /// Messages and bytes.
+    pub counters: Counters,
+}
+
+/// One node's part in the deployment.
+pub struct Mesh {
+    pub(crate) core: Arc<Core>,
+}
+
+impl Mesh {
+    /// Listens for peers, joins, and runs until `stop` is cancelled.
+    pub async fn start(
+        mut settings: Settings,
+        host: Arc<dyn Host>,
+        stop: CancellationToken,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(settings.addresses.peer).await?;
+        settings.addresses.peer = listener.local_addr()?;
+        let own = Record::new(
+            settings.name.clone(),
+            settings.incarnation,
+            settings.addresses,
+            settings.data_centre.clone(),
+            settings.region.clone(),
+        );
+        let meter = Arc::new(Meter::default());
+        let core = Arc::new(Core {
+            start: Instant::now(),
+            table: Mutex::new(Table::new(own, settings.member.clone(), settings.seed)),
+            spread: Mutex::new(spread::State::new()),
+            fresh: Mutex::new(Fresh::new(settings.fresh.clone(), Time::ZERO)),
+            stop: Mutex::new(Stop::new(settings.incarnation, &settings.stop)),
+            pending: Mutex::new(News::default()),
+            news: Notify::new(),
+            hints: Mutex::new(Vec::new()),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(settings.seed)),
+            connections: Connections::new(meter.clone()),
+            meter,
+            settings,
+            host,
+        });
+        let held = core.host.catalog();
+        core.spread.lock().admit(held.iter().map(|object| Object::clone(object)).collect());
+        loops::spawn(&core, &stop);
+        tokio::spawn(serve::accept(core.clone(), listener, stop));
+        Ok(Arc::new(Self { core }))
+    }
+
+    /// Where this node listens for peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.core.settings.addresses.peer
+    }
+
+    /// All members as this node knows them, itself first.
+    pub fn members(&self) -> Vec<Record> {
+        self.core.table.lock().all().cloned().collect()
+    }
+
+    /// The lowest revision that a member which is up has applied.
+    pub fn lowest_applied(&self) -> u64 {
+        self.core.table.lock().lowest_applied()
+    }
+
+    /// The highest revision that this node or a peer is known to hold.
+    pub fn heard(&self) -> u64 {
+        let highest = self.core.table.lock().highest_applied();
+        highest.max(self.core.spread.lock().root().revision)
+    }
+
+    /// Which nodes a caller at `place` is told of; this node's own place if none
+    /// is given. Its own lookups' lifetime is that of the settings.
+    pub fn lookup(&self, place: Option<lookup::Place<'_>>) -> Entries {
+        let settings = &self.core.settings;
+        let own = lookup::Place { data_centre: &settings.data_centre, region: &settings.region };
+        let table = self.core.table.lock();
+        let mut random = self.core.random.lock();
+        lookup::entries(&table, place.unwrap_or(own), settings.stop.keep, &mut random)
+    }
+
+    /// Objects from the platform: those that are newer are offered to the host
+    /// and pushed to peers.
+    pub fn push(&self, objects: Vec<Object>) {
+        self.core.receive(News { objects, marks: Vec::new() });
+    }
+
+    /// An upstream was seen leaving just now.
+    pub fn mark(&self, server: Arc<str>, incarnation: Incarnation) {
+        let mark = Mark { server, incarnation, age_ms: 0 };
+        self.core.receive(News { objects: Vec::new(), marks: vec![mark] });
+    }
+
+    /// Whether an upstream server incarnation is known to be leaving.
+    pub fn is_leaving(&self, server: &str, incarnation: Incarnation) -> bool {
+        self.core.spread.lock().is_leaving(server, incarnation)
+    }
+
+    /// Everything that the platform held was pushed, or (`false`) the node can no
+    /// longer vouch for what it holds and starts over.
+    pub fn set_fresh(&self, fresh: bool) {
+        let now = self.core.now();
+        let mut state = self.core.fresh.lock();
+        if !fresh {
+            *state = Fresh::new(self.core.settings.fresh.clone(), now);
+        } else {
+            state.platform_synced();
+        }
+        drop(state);
+        loops::show_fresh(&self.core);
+    }
+
+    /// Whether the platform answers this node.
+    pub fn set_platform(&self, answers: bool) {
+        self.core.table.lock().update(|own| own.platform = answers);
+    }
+
+    /// The VM list, which lags: advice on who leaves, and addresses to join by.
+    pub fn set_vms(&self, vms: &Vms) {
+        const ENTRY_ROLE: &str = "entry";
+        let entries = || vms.vms.iter().filter(|vm| &*vm.role == ENTRY_ROLE);
+        let leaving: Vec<Arc<str>> =
+            entries().filter(|vm| vm.life == Life::Leaving).map(|vm| vm.name.clone()).collect();
+        self.core.table.lock().advise_leaving(&leaving);
+        *self.core.hints.lock() = entries().filter_map(|vm| vm.address.parse().ok()).collect();
+    }
+
+    /// Whether this node is to hold the platform's watch.
+    pub fn holds_watch(&self) -> bool {
+        self.watchers().contains(&self.core.settings.incarnation)
+    }
+
+    fn watchers(&self) -> Vec<Incarnation> {
+        let table = self.core.table.lock();
+        watcher::holders(table.all(), &self.core.settings.data_centre)
+    }
+
+    /// Where the table of a ticket's minter is.
+    pub fn route(&self, minter: Incarnation) -> Route {
+        let table = self.core.table.lock();
+        let own = table.own();
+        if own.incarnation == minter || own.minters.contains(&minter) {
+            return Route::Own;
+        }
+        let minted = table.get(minter).filter(|record| record.is_up());
+        let taken = || table.others().find(|r| r.is_up() && r.minters.contains(&minter));
+        minted.or_else(taken).map_or(Route::Gone, |record| Route::Peer(record.peer))
+    }
+
+    /// Has a ticketed query run by the node that holds its ticket.
+    pub async fn forward(&self, minter: Incarnation, query: Query) -> Result<Acted, ForwardError> {
+        let peer = match self.route(minter) {
+            Route::Own => return Err(ForwardError::Own),
+            Route::Gone => return Err(ForwardError::Gone),
+            Route::Peer(peer) => peer,
+        };
+        let limit = query
+            .deadline_ms
+            .map_or(FORWARD_LIMIT, |ms| Duration::from_millis(u64::from(ms)) + FORWARD_MARGIN);
+        let query = &query;
+        let make = |client: crate::link::LinkClient, context| {
+            let query = query.clone();
+            async move { client.act(context, query).await }
+        };
+        self.core.connections.call(peer, limit, make).await.map_err(|failed| match failed {
+            Failed::NotSent => ForwardError::NotSent,
+            Failed::Lost => ForwardError::Lost,
+        })
+    }
+
+    /// Hands sealed tickets to one peer; false if it didn't take them.
+    pub async fn hand_over(&self, peer: Incarnation, tickets: Vec<u8>) -> bool {
+        let Some(address) = self.core.peer_of(peer) else {
+            return false;
+        };
+        let mut minters = self.core.table.lock().own().minters.clone();
+        minters.push(self.core.settings.incarnation);
+        let hand_over = &HandOver { minters, tickets };
+        let make = |client: crate::link::LinkClient, context| {
+            let hand_over = hand_over.clone();
+            async move { client.hand_over(context, hand_over).await }
+        };
+        self.core.connections.call(address, CALL_LIMIT, make).await.unwrap_or(false)
+    }
+
+    /// The experiments' results of every member that is up.
+    pub async fn collect_tallies(&self) -> Vec<Tally> {
+        let up: Vec<Record> =
+            self.core.table.lock().others().filter(|r| r.is_up()).cloned().collect();
+        let asked = up.into_iter().map(|record| async move {
+            let make = |client: crate::link::LinkClient, context| async move {
+                client.tallies(context).await
+            };
+            let bytes = self.core.connections.call(record.peer, CALL_LIMIT, make).await.ok();
+            Tally { node: record.name, incarnation: record.incarnation, bytes }
+        });
+        let own = Tally {
+            node: self.core.settings.name.clone(),
+            incarnation: self.core.settings.incarnation,
+            bytes: Some(self.core.host.tallies()),
+        };
+        let mut tallies = vec![own];
+        tallies.extend(join_all(asked).await);
+        tallies
+    }
+
+    /// Messages and bytes so far.
+    pub fn counters(&self) -> Counters {
+        self.core.meter.counters()
+    }
+
+    /// The whole state.
+    pub fn dump(&self) -> Dump {
+        let now = self.core.now();
+        let spread = self.core.spread.lock();
+        let (root, objects, marks) = (spread.root(), spread.len(), spread.marks(now));
+        drop(spread);
+        Dump {
+            members: self.members(),
+            summaries: self.core.table.lock().summaries(),
+            root,
+            objects,
+            marks,
+            fresh: self.core.fresh.lock().to_string(),
+            phase: self.core.stop.lock().phase(),
+            watchers: self.watchers(),
+            counters: self.counters(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/peer/src/serve.rs
@@ -0,0 +1,174 @@
+//! Answers peers' calls.
+//!
+//! Invariant: no handler holds a lock over an await, and each answer is bounded.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_serde::formats::MessagePack;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::sync::CancellationToken;
+
+use crate::link::Ack;
+use crate::link::Acted;
+use crate::link::Digest;
+use crate::link::Exchange;
+use crate::link::Exchanged;
+use crate::link::HandOver;
+use crate::link::Link;
+use crate::link::News;
+use crate::link::Probe;
+use crate::mesh::Core;
+use crate::meter::Meter;
+use crate::meter::Metered;
+use crate::record::Record;
+use crate::spread;
+use crate::spread::Root;
+use conf::object::Object;
+use wire::caller::Query;
+
+/// How long a connection without a call is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// The wait after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// The most minters that a node lists.
+const MINTERS_LIMIT: usize = 16;
+
+/// Accepts peers' connections until `stop` is cancelled.
+pub(crate) async fn accept(core: Arc<Core>, listener: TcpListener, stop: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = serve(core.clone(), stream);
+                let stop = stop.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = stop.cancelled() => {}
+                        () = serving => {}
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(target: "peer", "accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(core: Arc<Core>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let metered = Metered::new(stream, core.meter.clone());
+    let framed = Framed::new(metered, LengthDelimitedCodec::new());
+    let transport = serde_transport::new(framed, MessagePack::default());
+    let requests = BaseChannel::with_defaults(transport).execute(Server { core }.serve());
+    let mut requests = std::pin::pin!(requests);
+    while let Ok(Some(request)) = tokio::time::timeout(IDLE_LIMIT, requests.next()).await {
+        tokio::spawn(request);
+    }
+}
+
+#[derive(Clone)]
+struct Server {
+    core: Arc<Core>,
+}
+
+impl Link for Server {
+    async fn probe(self, _: Context, probe: Probe) -> Ack {
+        Meter::add(&self.core.meter.answered);
+        self.core.answer_probe(probe)
+    }
+
+    async fn relay(self, _: Context, target: SocketAddr, probe: Probe) -> Option<Ack> {
+        Meter::add(&self.core.meter.answered);
+        self.core.probe_with(target, probe).await.ok()
+    }
+
+    async fn members(self, _: Context, digest: u64) -> Vec<Record> {
+        Meter::add(&self.core.meter.answered);
+        let table = self.core.table.lock();
+        if table.digest() == digest { Vec::new() } else { table.all().cloned().collect() }
+    }
+
+    async fn push(self, _: Context, news: News) {
+        Meter::add(&self.core.meter.answered);
+        self.core.receive(news);
+    }
+
+    async fn digest(self, _: Context, root: Root) -> Digest {
+        Meter::add(&self.core.meter.answered);
+        let now = self.core.now();
+        let fresh = self.core.table.lock().own().fresh;
+        let spread = self.core.spread.lock();
+        let ours = spread.root();
+        let buckets =
+            if ours.objects == root.objects { Vec::new() } else { spread.buckets().to_vec() };
+        let marks = if ours.marks == root.marks { Vec::new() } else { spread.marks(now) };
+        Digest { root: ours, fresh, buckets, marks }
+    }
+
+    async fn exchange(self, _: Context, exchange: Exchange) -> Exchanged {
+        Meter::add(&self.core.meter.answered);
+        let difference = self.core.spread.lock().compare(&exchange.versions, &exchange.buckets);
+        let catalog = self.core.host.catalog();
+        let newer = difference.newer_here.iter().filter_map(|key| catalog.get(key));
+        let newer: Vec<Object> = newer.map(|object| Object::clone(object)).collect();
+        let mut chunks = spread::chunks(newer);
+        let more = chunks.len() > 1;
+        let objects = if chunks.is_empty() { Vec::new() } else { chunks.swap_remove(0) };
+        Exchanged { objects, more, wanted: difference.newer_there }
+    }
+
+    async fn stay(self, _: Context, asker: Record) -> bool {
+        Meter::add(&self.core.meter.answered);
+        let now = self.core.now();
+        let ready = {
+            let mut table = self.core.table.lock();
+            table.merge(vec![asker], now);
+            table.own().is_ready()
+        };
+        ready && self.core.stop.lock().grants()
+    }
+
+    async fn act(self, _: Context, query: Query) -> Acted {
+        Meter::add(&self.core.meter.answered);
+        // A caller's peer that goes away must not cut off what runs here.
+        let running = self.core.host.act(query);
+        let refused = crate::mesh::lost_refusal;
+        tokio::spawn(running).await.unwrap_or_else(|_| refused())
+    }
+
+    async fn hand_over(self, _: Context, hand_over: HandOver) -> bool {
+        Meter::add(&self.core.meter.answered);
+        if !self.core.stop.lock().grants() || !self.core.host.take_over(hand_over.tickets) {
+            return false;
+        }
+        self.core.table.lock().update(|own| {
+            own.minters.retain(|minter| !hand_over.minters.contains(minter));
+            own.minters.extend(hand_over.minters);
+            let surplus = own.minters.len().saturating_sub(MINTERS_LIMIT);
+            own.minters.drain(..surplus);
+        });
+        true
+    }
+
+    async fn tallies(self, _: Context) -> Vec<u8> {
+        Meter::add(&self.core.meter.answered);
+        self.core.host.tallies()
+    }
+}
