--- /dev/null
+++ b/crates/process/rpc/src/service.rs
@@ -0,0 +1,181 @@
+//! The tonic service over a [`Backend`].
+//!
+//! Invariant: nothing is decided here but how a request is read and how a stage
+//! change becomes a conditional write; a stage change is written at the revision
+//! that it was read at, so it never takes back what another operator did.
+
+use std::sync::Arc;
+
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+
+use crate::backend::Backend;
+use crate::backend::Expected;
+use crate::backend::Target;
+use crate::backend::Write;
+use crate::convert;
+use crate::failure::Failure;
+use crate::proto;
+use crate::proto::operator_server::Operator;
+use crate::proto::operator_server::OperatorServer;
+use conf::object::Experiment;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Spec;
+use conf::object::Stage;
+
+/// The largest message in either direction, in bytes: an object of a megabyte,
+/// or a list or dump of several.
+pub const MESSAGE_LIMIT: usize = 64 << 20;
+
+type Answer<T> = Result<Response<T>, Status>;
+
+/// Answers the schema's calls from a backend.
+#[derive(Clone)]
+pub struct Service {
+    backend: Arc<dyn Backend>,
+}
+
+impl Service {
+    /// A service that asks `backend`.
+    pub fn new(backend: Arc<dyn Backend>) -> Self {
+        Self { backend }
+    }
+
+    /// The same as a tonic service, ready to be added to a server.
+    pub fn into_server(self) -> OperatorServer<Self> {
+        OperatorServer::new(self)
+            .max_decoding_message_size(MESSAGE_LIMIT)
+            .max_encoding_message_size(MESSAGE_LIMIT)
+    }
+
+    async fn write(&self, write: Write) -> Answer<proto::Object> {
+        if write.operation.is_empty() {
+            return Err(Failure::invalid("operation", "is missing").into());
+        }
+        log::info!(target: "rpc", "Write {} of {}.", write.operation, write.key);
+        let object = self.backend.write(write).await?;
+        Ok(Response::new(convert::object_to_proto(&object)))
+    }
+
+    async fn set_stage(
+        &self,
+        operation: String,
+        name: &str,
+        expected: Option<u64>,
+        change: impl FnOnce(&mut Experiment),
+    ) -> Answer<proto::Object> {
+        let key = Key { kind: Kind::Experiment, name: Arc::from(name) };
+        let object = self.backend.get(key.clone()).await?;
+        if expected.is_some_and(|revision| revision != object.revision) {
+            return Err(Failure::Conflict(Some(object)).into());
+        }
+        let Object { revision, spec: Some(Spec::Experiment(mut experiment)), .. } = object else {
+            return Err(Failure::NotFound(key.to_string()).into());
+        };
+        change(&mut experiment);
+        let spec = Some(Spec::Experiment(experiment));
+        self.write(Write { operation, key, expected: Expected::Revision(revision), spec }).await
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for Service {
+    async fn create(&self, request: Request<proto::CreateRequest>) -> Answer<proto::Object> {
+        let request = request.into_inner();
+        let key = convert::key_from_proto(request.key)?;
+        let spec = Some(convert::spec_from_json(key.kind, &request.spec_json)?);
+        let operation = request.operation;
+        self.write(Write { operation, key, expected: Expected::Absent, spec }).await
+    }
+
+    async fn get(&self, request: Request<proto::GetRequest>) -> Answer<proto::Object> {
+        let key = convert::key_from_proto(request.into_inner().key)?;
+        let object = self.backend.get(key).await?;
+        Ok(Response::new(convert::object_to_proto(&object)))
+    }
+
+    async fn list(&self, request: Request<proto::ListRequest>) -> Answer<proto::ListReply> {
+        let kind = request.into_inner().kind;
+        let known = convert::kind_from_proto(kind);
+        if known.is_none() && kind != proto::Kind::Unspecified as i32 {
+            return Err(Failure::invalid("kind", "is unknown").into());
+        }
+        let objects = self.backend.list(known).await?;
+        let objects = objects.iter().map(convert::object_to_proto).collect();
+        Ok(Response::new(proto::ListReply { objects }))
+    }
+
+    async fn update(&self, request: Request<proto::UpdateRequest>) -> Answer<proto::Object> {
+        let request = request.into_inner();
+        let key = convert::key_from_proto(request.key)?;
+        let spec = Some(convert::spec_from_json(key.kind, &request.spec_json)?);
+        let expected = Expected::Revision(request.expected_revision);
+        self.write(Write { operation: request.operation, key, expected, spec }).await
+    }
+
+    async fn delete(&self, request: Request<proto::DeleteRequest>) -> Answer<proto::Object> {
+        let request = request.into_inner();
+        let key = convert::key_from_proto(request.key)?;
+        let expected = Expected::Revision(request.expected_revision);
+        self.write(Write { operation: request.operation, key, expected, spec: None }).await
+    }
+
+    async fn start(&self, request: Request<proto::StageRequest>) -> Answer<proto::Object> {
+        let request = request.into_inner();
+        let change = |experiment: &mut Experiment| experiment.stage = Stage::Running;
+        let expected = request.expected_revision;
+        self.set_stage(request.operation, &request.experiment, expected, change).await
+    }
+
+    async fn stop(&self, request: Request<proto::StageRequest>) -> Answer<proto::Object> {
+        let request = request.into_inner();
+        let change = |experiment: &mut Experiment| experiment.stage = Stage::Stopped;
+        let expected = request.expected_revision;
+        self.set_stage(request.operation, &request.experiment, expected, change).await
+    }
+
+    async fn conclude(&self, request: Request<proto::ConcludeRequest>) -> Answer<proto::Object> {
+        let request = request.into_inner();
+        let winner = Arc::from(request.winner);
+        let change = |experiment: &mut Experiment| {
+            experiment.stage = Stage::Concluded;
+            experiment.winner = Some(winner);
+        };
+        let expected = request.expected_revision;
+        self.set_stage(request.operation, &request.experiment, expected, change).await
+    }
+
+    async fn report(&self, request: Request<proto::ReportRequest>) -> Answer<proto::ReportReply> {
+        let reply = self.backend.report(request.into_inner().experiment).await?;
+        Ok(Response::new(reply))
+    }
+
+    async fn status(&self, _request: Request<proto::StatusRequest>) -> Answer<proto::StatusReply> {
+        Ok(Response::new(self.backend.status().await?))
+    }
+
+    async fn drain(&self, request: Request<proto::DrainRequest>) -> Answer<proto::DrainReply> {
+        let target = match request.into_inner().target {
+            Some(proto::drain_request::Target::Node(name)) => Target::Node(name),
+            Some(proto::drain_request::Target::Server(name)) => Target::Server(name),
+            None => return Err(Failure::invalid("target", "is missing").into()),
+        };
+        let message = self.backend.drain(target).await?;
+        Ok(Response::new(proto::DrainReply { message }))
+    }
+
+    async fn dump(&self, _request: Request<proto::DumpRequest>) -> Answer<proto::DumpReply> {
+        Ok(Response::new(self.backend.dump().await?))
+    }
+
+    async fn explain(
+        &self,
+        request: Request<proto::ExplainRequest>,
+    ) -> Answer<proto::ExplainReply> {
+        let trace = self.backend.explain(request.into_inner().request).await?;
+        Ok(Response::new(proto::ExplainReply { trace }))
+    }
+}
