--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![deny(missing_docs)]
 
+pub mod caller;
 pub mod hits;
 pub mod http;
 pub mod platform;
