--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -10,14 +10,23 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
+use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 /// A body that may fail half-way.
 pub type Body = BoxBody<Bytes, io::Error>;
@@ -36,9 +45,7 @@
     };
     let mut reply = Response::new(full(body));
     *reply.status_mut() = status;
-    reply
-        .headers_mut()
-        .insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     reply
 }
 
@@ -91,3 +98,78 @@
     listener.set_nonblocking(true)?;
     TcpListener::from_std(listener)
 }
+
+/// Answers every request of every connection by `answer`, until `stop`; an
+/// error of `answer` closes the connection without a response.
+pub async fn serve<F>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    answer: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = io::Result<Reply>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        // Small responses must not wait for an acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(answer.clone());
+        let serve = server::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                _ = serve => {}
+            }
+        });
+    }
+}
+
+/// A client's connection that stays open between requests.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// If nobody listens there.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        tokio::spawn(connection);
+        Ok(Self { sender })
+    }
+
+    /// Sends a request and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// If the connection ends before the response does.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> io::Result<Response<Bytes>> {
+        self.sender.ready().await.map_err(io::Error::other)?;
+        let response = self.sender.send_request(request).await.map_err(io::Error::other)?;
+        let (head, body) = response.into_parts();
+        Ok(Response::from_parts(head, read(body).await?))
+    }
+}
+
+/// Sends a request on a connection of its own.
+///
+/// # Errors
+///
+/// As [`Connection::open`] and [`Connection::send`].
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> io::Result<Response<Bytes>> {
+    Connection::open(address).await?.send(request).await
+}
--- a/crates/fakes/src/platform/server.rs
+++ b/crates/fakes/src/platform/server.rs
@@ -12,16 +12,13 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::header::IF_MATCH;
 use hyper::header::IF_NONE_MATCH;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde_json::Value;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
@@ -82,7 +79,9 @@
             stats: Mutex::default(),
         });
         let stop = CancellationToken::new();
-        tokio::spawn(accept(listener, state.clone(), stop.clone()));
+        let answering = state.clone();
+        let answer = move |request| answer_counted(answering.clone(), request);
+        tokio::spawn(http::serve(listener, stop.clone(), answer));
         log::info!(target: "fakes", "platform listens on {address}");
         Ok(Self { address, state, _stop: stop.drop_guard() })
     }
@@ -103,24 +102,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, state: Arc<State>, stop: CancellationToken) {
-    loop {
-        let stream = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = stream else { continue };
-        let state = state.clone();
-        let service = service_fn(move |request| answer(state.clone(), request));
-        let serve = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        let stop = stop.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = stop.cancelled() => {}
-                _ = serve => {}
-            }
-        });
-    }
+async fn answer_counted(state: Arc<State>, request: Request<Incoming>) -> io::Result<Reply> {
+    let asked = request.body().size_hint().exact().unwrap_or(0);
+    let reply = answer(state.clone(), request).await?;
+    let told = reply.body().size_hint().exact().unwrap_or(0);
+    state.stats.lock().bytes += asked + told;
+    Ok(reply)
 }
 
 async fn answer(state: Arc<State>, request: Request<Incoming>) -> io::Result<Reply> {
@@ -250,7 +237,6 @@
             return Ok(http::text(StatusCode::PRECONDITION_REQUIRED, "no usable precondition"));
         };
         let body = http::read(request.into_body()).await?;
-        self.stats.lock().bytes += body.len() as u64;
         let value = match value(delete, &body) {
             Ok(value) => value,
             Err(refusal) => return Ok(*refusal),
--- a/crates/fakes/src/platform/stats.rs
+++ b/crates/fakes/src/platform/stats.rs
@@ -24,7 +24,8 @@
     pub outages: u64,
     /// Watches that wait now.
     pub waiting: u64,
-    /// Bytes of request and response bodies.
+    /// Bytes of request and response bodies, those of `/stats` and `/fault`
+    /// included.
     pub bytes: u64,
     /// The highest revision.
     pub revision: u64,
--- a/crates/fakes/src/upstream.rs
+++ b/crates/fakes/src/upstream.rs
@@ -25,3 +25,4 @@
 pub use settings::Settings;
 pub use stats::Runs;
 pub use stats::Stats;
+pub use work::Work;
--- a/crates/fakes/src/upstream/control.rs
+++ b/crates/fakes/src/upstream/control.rs
@@ -9,9 +9,6 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -30,23 +27,7 @@
 }
 
 pub(super) async fn serve(listener: TcpListener, hosts: Arc<Hosts>, stop: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        let hosts = hosts.clone();
-        let service = service_fn(move |request| answer(hosts.clone(), request));
-        let serve = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        let stop = stop.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = stop.cancelled() => {}
-                _ = serve => {}
-            }
-        });
-    }
+    http::serve(listener, stop, move |request| answer(hosts.clone(), request)).await;
 }
 
 async fn answer(hosts: Arc<Hosts>, request: Request<Incoming>) -> io::Result<Reply> {
--- a/crates/fakes/src/upstream/fleet.rs
+++ b/crates/fakes/src/upstream/fleet.rs
@@ -91,7 +91,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        self.hosts.shells.iter().for_each(|shell| shell.kill());
+        self.hosts.shells.iter().for_each(|shell| shell.stop());
     }
 }
 
@@ -174,7 +174,7 @@
         Action::Silent => shell.silence(),
         Action::Drop => shell.forget(),
         Action::Freeze => shell.freeze(true),
-        Action::Kill => shell.kill(),
+        Action::Kill => shell.kill().await,
         Action::Restart => return shell.restart().await,
         Action::Heal => {
             shell.freeze(false);
--- a/crates/fakes/src/upstream/shell.rs
+++ b/crates/fakes/src/upstream/shell.rs
@@ -4,7 +4,6 @@
 //! them, and a forgotten connection no longer counts.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::http;
 use crate::http::Reply;
@@ -44,6 +44,8 @@
     silence: CancellationToken,
     /// Makes the open connections forgotten.
     forget: CancellationToken,
+    /// The listener and all connections.
+    tasks: TaskTracker,
 }
 
 /// What one connection has to heed.
@@ -62,21 +64,30 @@
 
     /// Serves a bound listener in a task of the present runtime.
     pub(super) fn serve(self: &Arc<Self>, listener: TcpListener) {
-        tokio::spawn(self.clone().accept(listener, self.signals()));
+        let tasks = self.sockets.lock().tasks.clone();
+        tasks.spawn(self.clone().accept(listener, self.signals(), tasks.clone()));
     }
 
-    /// Ends the listener and all connections.
-    pub(super) fn kill(&self) {
+    /// Tells the listener and all connections to end.
+    pub(super) fn stop(&self) {
         self.sockets.lock().kill.cancel();
     }
 
+    /// Ends the listener and all connections, and waits until they have.
+    pub(super) async fn kill(&self) {
+        self.stop();
+        let tasks = self.sockets.lock().tasks.clone();
+        tasks.close();
+        tasks.wait().await;
+    }
+
     /// Binds the same port again and serves a new incarnation.
     pub(super) async fn restart(self: &Arc<Self>) -> io::Result<()> {
-        self.kill();
+        self.kill().await;
         *self.sockets.lock() = Sockets::default();
         self.frozen.send_replace(false);
         self.server.renew();
-        let listener = rebind(self.server.address).await?;
+        let listener = http::bind(self.server.address)?;
         self.serve(listener);
         Ok(())
     }
@@ -105,7 +116,12 @@
         }
     }
 
-    async fn accept(self: Arc<Self>, listener: TcpListener, mut signals: Signals) {
+    async fn accept(
+        self: Arc<Self>,
+        listener: TcpListener,
+        mut signals: Signals,
+        tasks: TaskTracker,
+    ) {
         loop {
             let accepted = tokio::select! {
                 () = signals.kill.cancelled() => return,
@@ -117,7 +133,7 @@
             }
             let Ok((stream, _)) = accepted else { continue };
             if let Some(open) = Open::new(self.server.clone()) {
-                tokio::spawn(connection(self.server.clone(), stream, self.signals(), open));
+                tasks.spawn(connection(self.server.clone(), stream, self.signals(), open));
             }
         }
     }
@@ -210,18 +226,3 @@
 async fn thawed(frozen: &mut watch::Receiver<bool>) {
     let _ = frozen.wait_for(|frozen| !*frozen).await;
 }
-
-/// Binds the address again; the old listener's task may hold it a moment longer.
-async fn rebind(address: SocketAddr) -> io::Result<TcpListener> {
-    const TRIES: u32 = 100;
-    const PAUSE: Duration = Duration::from_millis(5);
-    for _ in 1..TRIES {
-        match http::bind(address) {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
-                tokio::time::sleep(PAUSE).await;
-            }
-            result => return result,
-        }
-    }
-    http::bind(address)
-}
--- a/crates/fakes/src/upstream/work.rs
+++ b/crates/fakes/src/upstream/work.rs
@@ -12,18 +12,18 @@
 
 /// Draws the service times of one server.
 #[derive(Debug)]
-pub(super) struct Work {
+pub struct Work {
     rng: ChaCha8Rng,
 }
 
 impl Work {
     /// The draws of one server.
-    pub(super) fn new(seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Self { rng: ChaCha8Rng::seed_from_u64(seed) }
     }
 
     /// The next service time; `factor` multiplies it.
-    pub(super) fn next(&mut self, service: &Service, factor: f64) -> Duration {
+    pub fn next(&mut self, service: &Service, factor: f64) -> Duration {
         let normal = self.normal();
         let straggles = self.rng.random::<f64>() < service.straggler_share;
         let straggler = if straggles { service.straggler_factor } else { 1.0 };
