--- a/crates/process/node/src/lib.rs
+++ b/crates/process/node/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod logging;
 pub mod metrics;
 pub mod options;
+pub mod process;
 pub mod request;
--- /dev/null
+++ b/crates/process/node/src/process/follow.rs
@@ -0,0 +1,50 @@
+//! What the node does with what the platform shows.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::process::state::Process;
+use conf::object::Object;
+use store::follow;
+use wire::platform::Vms;
+
+/// Passes the platform's changes to the process and its peers.
+pub struct Host(pub Arc<Process>);
+
+impl follow::Host for Host {
+    fn holds_watch(&self) -> bool {
+        self.0.mesh().is_some_and(|mesh| mesh.holds_watch())
+    }
+
+    fn heard(&self) -> u64 {
+        self.0.mesh().map_or(0, |mesh| mesh.heard())
+    }
+
+    fn offer(&self, objects: Vec<Object>) {
+        // The mesh gives back what is newer, see `hub::Hub::offer`.
+        if let Some(mesh) = self.0.mesh() {
+            mesh.push(objects);
+        }
+    }
+
+    fn synced(&self, _revision: u64) {
+        if let Some(mesh) = self.0.mesh() {
+            mesh.set_fresh(true);
+        }
+    }
+
+    fn vms(&self, vms: Vms) {
+        self.0.upstreams.learn(|table| table.vms(&vms.vms));
+        if let Some(mesh) = self.0.mesh() {
+            mesh.set_vms(&vms);
+        }
+    }
+
+    fn failing(&self, span: Duration) {
+        let answers = span.is_zero();
+        self.0.saw_platform(answers);
+        if let Some(mesh) = self.0.mesh() {
+            mesh.set_platform(answers);
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/node/src/process/hub.rs
@@ -0,0 +1,72 @@
+//! What the node gives to its peers.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+
+use crate::process::state::Process;
+use crate::request::answer;
+use conf::catalog::Catalog;
+use conf::object::Object;
+use once::sealed::Sealed;
+use peer::link;
+use peer::link::Acted;
+use peer::spread::Mark;
+use wire::caller::Query;
+
+/// The process as its mesh sees it.
+pub struct Hub(pub Arc<Process>);
+
+impl link::Host for Hub {
+    fn catalog(&self) -> Arc<Catalog> {
+        self.0.catalog()
+    }
+
+    fn offer(&self, objects: Vec<Object>) {
+        self.0.apply(&objects);
+    }
+
+    fn marks(&self, marks: Vec<Mark>) {
+        for mark in marks {
+            let mark = route::mark::Mark { server: mark.server, incarnation: mark.incarnation };
+            // Peers told this node, so there is nobody to tell in turn.
+            self.0.upstreams.with(|table| table.mark(&mark));
+        }
+    }
+
+    fn act(&self, query: Query) -> BoxFuture<'static, Acted> {
+        let process = Arc::clone(&self.0);
+        Box::pin(async move {
+            match answer::Request::new(process, query).answer_forwarded().await {
+                Ok(answer) => Acted::Answer(answer),
+                Err(refusal) => Acted::Refusal(refusal),
+            }
+        })
+    }
+
+    fn take_over(&self, tickets: Vec<u8>) -> bool {
+        let sealed: Sealed = match rmp_serde::from_slice(&tickets) {
+            Ok(sealed) => sealed,
+            Err(error) => {
+                log::warn!(target: "once", "A peer's tickets can't be read: {error}.");
+                return false;
+            }
+        };
+        let now = self.0.clock.now();
+        let count = sealed.len();
+        match self.0.tickets.with(|table| table.adopt(sealed, now)) {
+            Ok(()) => {
+                log::info!(target: "once", "Took over {count} tickets.");
+                true
+            }
+            Err(error) => {
+                log::warn!(target: "once", "Did not take over {count} tickets: {error}.");
+                false
+            }
+        }
+    }
+
+    fn tallies(&self) -> Vec<u8> {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/process/node/src/process/operate.rs
@@ -0,0 +1,241 @@
+//! Answers operators.
+//!
+//! Invariant: a write is checked as a whole against the configuration in force
+//! before it goes to the platform; what the platform accepted goes in force here
+//! at once and is pushed to peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+use crate::process::dump;
+use crate::process::state::Process;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::verify;
+use peer::record::Leave;
+use peer::record::Record;
+use rpc::backend::Backend;
+use rpc::backend::Expected;
+use rpc::backend::Reply;
+use rpc::backend::Target;
+use rpc::backend::Write;
+use rpc::failure::Failure;
+use rpc::proto;
+use rpc::proto::operator_client::OperatorClient;
+use store::api;
+use store::api::Store;
+use store::write;
+
+/// How long a write may take, its read-back included.
+const WRITE_LIMIT: Duration = Duration::from_secs(8);
+/// How long another node may take to be reached.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// The process as operators see it.
+pub struct Desk(pub Arc<Process>);
+
+impl Backend for Desk {
+    fn write(&self, write: Write) -> Reply<'_, Object> {
+        Box::pin(self.write_object(write))
+    }
+
+    fn get(&self, key: Key) -> Reply<'_, Object> {
+        Box::pin(async move {
+            let stored = self.0.store.get(&key).await.map_err(|error| unavailable(&error))?;
+            let live = stored.map(|stored| stored.object).filter(|object| object.spec.is_some());
+            live.ok_or_else(|| Failure::NotFound(key.to_string()))
+        })
+    }
+
+    fn list(&self, kind: Option<Kind>) -> Reply<'_, Vec<Object>> {
+        Box::pin(async move {
+            let kinds = kind.map_or(Kind::ALL.to_vec(), |kind| vec![kind]);
+            let mut objects = Vec::new();
+            for kind in kinds {
+                let listing = self.0.store.list(kind).await.map_err(|error| unavailable(&error))?;
+                let all = listing.items.into_iter().map(|stored| stored.object);
+                objects.extend(all.filter(|object| object.spec.is_some()));
+            }
+            Ok(objects)
+        })
+    }
+
+    fn status(&self) -> Reply<'_, proto::StatusReply> {
+        Box::pin(async move { Ok(self.status_now()) })
+    }
+
+    fn drain(&self, target: Target) -> Reply<'_, String> {
+        Box::pin(async move {
+            match target {
+                Target::Node(name) => self.drain_node(name).await,
+                Target::Server(name) => self.drain_server(&name),
+            }
+        })
+    }
+
+    fn dump(&self) -> Reply<'_, proto::DumpReply> {
+        Box::pin(async move {
+            Ok(proto::DumpReply {
+                node: self.0.settings.name.to_string(),
+                state_json: dump::state(&self.0).to_string(),
+            })
+        })
+    }
+
+    fn explain(&self, request: String) -> Reply<'_, String> {
+        Box::pin(self.explain_request(request))
+    }
+
+    fn report(&self, experiment: String) -> Reply<'_, proto::ReportReply> {
+        Box::pin(async move { Err(Failure::Unsupported(format!("report of {experiment}"))) })
+    }
+}
+
+impl Desk {
+    async fn write_object(&self, write: Write) -> Result<Object, Failure> {
+        if !self.0.is_fresh() {
+            return Err(Failure::unavailable("this node does not hold the configuration yet"));
+        }
+        let object = Object { key: write.key.clone(), revision: 0, spec: write.spec.clone() };
+        let findings = verify::object(&self.0.catalog(), &object);
+        if !findings.is_empty() {
+            return Err(Failure::Invalid(findings));
+        }
+        let operation: Arc<str> = Arc::from(write.operation);
+        let request = write::Request {
+            key: write.key.clone(),
+            expected: expected(write.expected),
+            spec: write.spec,
+            operation: Arc::clone(&operation),
+        };
+        let seed = self.0.next_request();
+        let outcome = write::run(&*self.0.store, request, WRITE_LIMIT, seed).await;
+        let told = told(outcome, &write.key, object, &operation);
+        if let (Ok(object), Some(mesh)) = (&told, self.0.mesh()) {
+            mesh.push(vec![object.clone()]);
+        }
+        told
+    }
+
+    fn status_now(&self) -> proto::StatusReply {
+        let process = &self.0;
+        let mesh = process.mesh();
+        let silent = process.platform_silence();
+        let own_applied = process.catalog().revision();
+        let leaving = process.upstreams.with(|table| table.marks());
+        let leaving = leaving.into_iter().map(|mark| mark.to_string());
+        let members = mesh.map(|mesh| mesh.members()).unwrap_or_default();
+        proto::StatusReply {
+            node: process.settings.name.to_string(),
+            members: members.iter().map(member).collect(),
+            lowest_applied_revision: mesh.map_or(own_applied, |mesh| mesh.lowest_applied()),
+            platform_reachable: silent.is_some_and(|span| span < PLATFORM_SILENCE),
+            platform_silent_ms: silent.map(|span| span.as_millis() as u64),
+            leaving_servers: leaving.collect(),
+        }
+    }
+
+    async fn drain_node(&self, name: String) -> Result<String, Failure> {
+        if *name == *self.0.settings.name {
+            self.0.stop.cancel();
+            return Ok(format!("node {name} makes a planned stop"));
+        }
+        let record = self.find(|record| *record.name == *name)?;
+        let target = Some(proto::drain_request::Target::Node(name));
+        let mut client = client(&record)?;
+        let reply = client.drain(proto::DrainRequest { target }).await;
+        reply.map(|reply| reply.into_inner().message).map_err(|status| Failure::from(&status))
+    }
+
+    fn drain_server(&self, name: &str) -> Result<String, Failure> {
+        let known = self.0.upstreams.with(|table| table.find(name));
+        let Some(server) = known else {
+            return Err(Failure::NotFound(format!("server {name}")));
+        };
+        self.0.upstreams.learn(|table| table.drain(server));
+        Ok(format!("server {name} gets no new work in its present life"))
+    }
+
+    async fn explain_request(&self, request: String) -> Result<String, Failure> {
+        if let Some(trace) = self.0.traces.get(&request) {
+            return Ok(trace);
+        }
+        let unknown = || Failure::NotFound(format!("request {request}"));
+        // The id begins with the incarnation of the node that ran it.
+        let life = request.split('-').next().unwrap_or_default();
+        if life == self.0.incarnation.to_string() {
+            return Err(unknown());
+        }
+        let record =
+            self.find(|record| record.incarnation.to_string() == life).map_err(|_| unknown())?;
+        let mut client = client(&record)?;
+        let reply = client.explain(proto::ExplainRequest { request: request.clone() }).await;
+        reply.map(|reply| reply.into_inner().trace).map_err(|status| Failure::from(&status))
+    }
+
+    fn find(&self, wanted: impl Fn(&Record) -> bool) -> Result<Record, Failure> {
+        let members = self.0.mesh().map(|mesh| mesh.members()).unwrap_or_default();
+        let found = members.into_iter().find(|record| record.is_up() && wanted(record));
+        found.ok_or_else(|| Failure::NotFound("no such node is up".to_owned()))
+    }
+}
+
+/// How long the platform may be silent and still count as reachable.
+const PLATFORM_SILENCE: Duration = Duration::from_secs(5);
+
+fn client(record: &Record) -> Result<OperatorClient<Channel>, Failure> {
+    let endpoint = Endpoint::from_shared(format!("http://{}", record.operator))
+        .map_err(|error| Failure::unavailable(error.to_string()))?;
+    let channel = endpoint.connect_timeout(CONNECT_LIMIT).connect_lazy();
+    Ok(OperatorClient::new(channel))
+}
+
+fn member(record: &Record) -> proto::Node {
+    proto::Node {
+        name: record.name.to_string(),
+        data_centre: record.data_centre.to_string(),
+        incarnation: record.incarnation.to_string(),
+        peer_address: record.peer.to_string(),
+        applied_revision: record.applied,
+        fresh: record.fresh,
+        leaving: record.leave != Leave::Staying,
+        liveness: format!("{:?}", record.state).to_lowercase(),
+        age_ms: 0,
+    }
+}
+
+fn expected(expected: Expected) -> api::Expected {
+    match expected {
+        Expected::Absent => api::Expected::Absent,
+        Expected::Revision(revision) => api::Expected::Revision(revision),
+    }
+}
+
+fn unavailable(error: &api::Error) -> Failure {
+    Failure::unavailable(format!("the platform: {error}"))
+}
+
+/// What the operator is told of a write.
+fn told(
+    outcome: write::Outcome,
+    key: &Key,
+    object: Object,
+    operation: &Arc<str>,
+) -> Result<Object, Failure> {
+    match outcome {
+        write::Outcome::Accepted(revision) => Ok(Object { revision, ..object }),
+        write::Outcome::Conflict(winner) => match winner {
+            Some(winner) => Err(Failure::Conflict(Some(winner.object))),
+            None => Err(Failure::Conflict(None)),
+        },
+        write::Outcome::NotWritten(error) => Err(unavailable(&error)),
+        write::Outcome::Unknown(_) => Err(Failure::Unknown {
+            message: format!("the platform did not tell whether {key} was written"),
+            operation: operation.to_string(),
+        }),
+    }
+}
--- a/crates/process/node/src/request/drive.rs
+++ b/crates/process/node/src/request/drive.rs
@@ -39,6 +39,8 @@
 use query::event::Event;
 use query::event::Final;
 use query::machine::Machine;
+use query::record::Recorder;
+use query::trace::Trace;
 use wire::caller::Priority;
 use wire::caller::Reason;
 use wire::id::Snapshot;
@@ -92,17 +94,8 @@
     pub budget: Box<dyn Budget>,
     /// The ticket of a non-idempotent request.
     pub claim: Option<Arc<dyn Claim>>,
-    /// Records each event and action; for `explain`.
-    pub recorder: Option<Box<dyn Recorder>>,
-}
-
-/// Notes what a query's machine was told and what it asked for.
-pub trait Recorder: Send {
-    /// One event and the actions that followed.
-    fn note(&mut self, now: Time, event: &Event, actions: &[Action]);
-
-    /// The trace as text.
-    fn text(&self) -> String;
+    /// Records each event, advice and action.
+    pub recorder: Option<Recorder>,
 }
 
 /// What remains of a query that ended.
@@ -110,7 +103,7 @@
     /// The last word.
     pub last: Final,
     /// The recorded trace.
-    pub trace: Option<String>,
+    pub trace: Option<Trace>,
 }
 
 /// The machine and what it is lent.
@@ -118,21 +111,32 @@
     machine: Machine,
     chooser: Box<dyn Chooser>,
     budget: Box<dyn Budget>,
-    recorder: Option<Box<dyn Recorder>>,
+    recorder: Option<Recorder>,
     /// What the machine asked for while an attempt was being sent.
     pending: Vec<Action>,
 }
 
 impl Core {
     fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        let noted = self.recorder.is_some().then(|| event.clone());
         let taken = std::mem::take(actions);
-        let mut context = Context::new(&mut *self.chooser, &mut *self.budget).with_actions(taken);
+        let Some(recorder) = &self.recorder else {
+            let mut context =
+                Context::new(&mut *self.chooser, &mut *self.budget).with_actions(taken);
+            self.machine.handle(now, event, &mut context);
+            *actions = context.actions;
+            return;
+        };
+        recorder.event(now, &event);
+        let mut chooser = recorder.chooser(&mut *self.chooser);
+        let mut budget = recorder.budget(&mut *self.budget);
+        let mut context = Context::new(&mut chooser, &mut budget).with_actions(taken);
         self.machine.handle(now, event, &mut context);
         *actions = context.actions;
-        if let (Some(recorder), Some(event)) = (&mut self.recorder, noted) {
-            recorder.note(now, &event, actions);
-        }
+        recorder.actions(now, actions);
+    }
+
+    fn trace(&self) -> Option<Trace> {
+        self.recorder.as_ref().map(|recorder| recorder.trace(self.machine.plan()))
     }
 }
 
@@ -194,7 +198,7 @@
                 actions.append(&mut core.pending);
             }
             if let Some(last) = self.carry_out(&mut actions) {
-                let trace = self.core.lock().recorder.as_ref().map(|recorder| recorder.text());
+                let trace = self.core.lock().trace();
                 return Done { last, trace };
             }
             event = self.next().await;
@@ -407,6 +411,3 @@
         | Unsent::Malformed => Reason::Unreachable,
     }
 }
-
-/// The shortest time limit that a request may ask for.
-pub const LEAST_DEADLINE: Duration = Duration::from_millis(1);
--- /dev/null
+++ b/crates/process/node/src/request/serve.rs
@@ -0,0 +1,115 @@
+//! Reads a caller's HTTP request and writes the reply.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+
+use crate::connection::front::BoxReply;
+use crate::connection::front::Handler;
+use crate::connection::front::Reply;
+use crate::connection::respond;
+use crate::process::dump;
+use crate::process::state::Process;
+use crate::request::answer;
+use wire::caller;
+use wire::caller::Block;
+use wire::caller::Entries;
+use wire::caller::Query;
+
+/// The longest request body, in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+
+impl Handler for Process {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxReply {
+        Box::pin(async move {
+            let mut reply = route(&self, request).await;
+            if self.closes_after_answer() {
+                let close = header::HeaderValue::from_static("close");
+                reply.headers_mut().insert(header::CONNECTION, close);
+            }
+            reply
+        })
+    }
+}
+
+async fn route(process: &Arc<Process>, request: Request<Incoming>) -> Reply {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, caller::QUERY_PATH) => query(process, request).await,
+        (&Method::GET, caller::ENTRIES_PATH) => entries(process, request.uri().query()),
+        (&Method::GET, caller::HEALTH_PATH) => health(process),
+        (&Method::GET, caller::METRICS_PATH) => {
+            respond::text(StatusCode::OK, process.metrics.scrape())
+        }
+        (&Method::GET, caller::DUMP_PATH) => respond::json(StatusCode::OK, &dump::state(process)),
+        (&Method::GET, caller::EXPLAIN_PATH) => explain(process, request.uri().query()),
+        _ => respond::text(StatusCode::NOT_FOUND, format!("there is no {path}\n")),
+    }
+}
+
+async fn query(process: &Arc<Process>, request: Request<Incoming>) -> Reply {
+    let body = match Limited::new(request.into_body(), BODY_LIMIT).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return respond::refusal(&process.invalid(&format!("body: {error}"))),
+    };
+    let query: Query = match serde_json::from_slice(&body) {
+        Ok(query) => query,
+        // The error names line and column of the fault.
+        Err(error) => return respond::refusal(&process.invalid(&format!("body: {error}"))),
+    };
+    match answer::Request::new(Arc::clone(process), query).answer().await {
+        Ok(answer) => respond::json(StatusCode::OK, &answer),
+        Err(refusal) => respond::refusal(&refusal),
+    }
+}
+
+/// The value of `key` in a query string; nothing here needs escapes.
+fn parameter<'a>(query: Option<&'a str>, key: &str) -> Option<&'a str> {
+    let pairs = query?.split('&');
+    pairs.filter_map(|pair| pair.split_once('=')).find(|(name, _)| *name == key).map(|p| p.1)
+}
+
+fn entries(process: &Arc<Process>, query: Option<&str>) -> Reply {
+    let place = parameter(query, "data_centre").map(|data_centre| {
+        let region = parameter(query, "region").unwrap_or_default();
+        peer::lookup::Place { data_centre, region }
+    });
+    let Some(mesh) = process.mesh() else {
+        let refusal = process.not_ready("this node has not joined yet");
+        return respond::refusal(&refusal);
+    };
+    let mut entries: Entries = mesh.lookup(place);
+    if let Some(count) = parameter(query, "tickets").and_then(|count| count.parse().ok()) {
+        entries.block = Some(block(process, count));
+    }
+    respond::json(StatusCode::OK, &entries)
+}
+
+fn block(process: &Process, count: usize) -> Block {
+    let count = count.min(process.settings.ticket_block as usize);
+    let now = process.clock.now();
+    let minted = process.tickets.with(|table| table.mint(count, now));
+    let keep_ms = u32::try_from(process.settings.ticket_keep_ms).unwrap_or(u32::MAX);
+    Block { tickets: minted.iter().map(ToString::to_string).collect(), keep_ms }
+}
+
+fn health(process: &Process) -> Reply {
+    let word = if process.is_fresh() { "fresh" } else { "not fresh" };
+    respond::text(StatusCode::OK, format!("{word}\n"))
+}
+
+fn explain(process: &Process, query: Option<&str>) -> Reply {
+    let Some(id) = parameter(query, "request") else {
+        return respond::text(StatusCode::BAD_REQUEST, "name a request: ?request=ID\n".to_owned());
+    };
+    match process.traces.get(id) {
+        Some(trace) => respond::text(StatusCode::OK, trace),
+        None => respond::text(StatusCode::NOT_FOUND, format!("request {id} is not known here\n")),
+    }
+}
--- a/crates/version/route/src/table.rs
+++ b/crates/version/route/src/table.rs
@@ -278,6 +278,14 @@
         all
     }
 
+    /// Takes a server's present life out of use, as an operator asks; gives back
+    /// new marks to spread.
+    pub fn drain(&mut self, server: Server) -> Vec<Mark> {
+        let name = Arc::clone(&self.servers[server].name);
+        let lives = self.lives.entry(Arc::clone(&name)).or_default();
+        marks(&name, lives.drain())
+    }
+
     /// Takes in a peer's mark; gives it back if it is new here.
     pub fn mark(&mut self, mark: &Mark) -> Vec<Mark> {
         let lives = self.lives.entry(Arc::clone(&mark.server)).or_default();
