--- a/crates/fakes/src/caller/summary.rs
+++ b/crates/fakes/src/caller/summary.rs
@@ -21,6 +21,7 @@
 use trial::tally::Sample;
 use wire::caller::Answer;
 use wire::caller::Outcome;
+use wire::caller::Reason;
 use wire::caller::Refusal;
 
 /// The arm of answers that name none.
@@ -116,6 +117,8 @@
     pub refusals: BTreeMap<String, u64>,
     /// Tries without a word by cause, those that were tried again included.
     pub losses: BTreeMap<Lost, u64>,
+    /// Shards that answers lacked, by reason.
+    pub missing: BTreeMap<Reason, u64>,
     /// Dishonest answers by kind.
     pub violations: BTreeMap<Violation, u64>,
     /// Request ids of the first dishonest answers.
@@ -219,6 +222,9 @@
     ) {
         self.summary.answered += 1;
         self.in_time += u64::from(self.deadline.is_none_or(|deadline| latency <= deadline));
+        for missing in &answer.missing {
+            *self.summary.missing.entry(missing.reason).or_default() += 1;
+        }
         for violation in wrong {
             *self.summary.violations.entry(*violation).or_default() += 1;
         }
@@ -312,6 +318,7 @@
         write_line(f, "all", &self.total)?;
         self.priorities.iter().try_for_each(|(name, line)| write_line(f, name, line))?;
         self.arms.iter().try_for_each(|(name, line)| write_line(f, name, line))?;
+        self.missing.iter().try_for_each(|(why, count)| writeln!(f, "missing {why}: {count}"))?;
         self.refusals.iter().try_for_each(|(why, count)| writeln!(f, "refused {why}: {count}"))?;
         self.losses.iter().try_for_each(|(why, count)| writeln!(f, "no word, {why}: {count}"))?;
         if let Some(claims) = &self.claims {
--- a/crates/fakes/tests/platform_faults.rs
+++ b/crates/fakes/tests/platform_faults.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::pin::pin;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
@@ -18,6 +19,9 @@
 use wire::platform::Batch;
 use wire::platform::List;
 
+/// Polls after which a test is stuck.
+const POLLS: u32 = 20_000;
+
 fn platform() -> Platform {
     Platform::start(([127, 0, 0, 1], 0).into()).expect("a port is free")
 }
@@ -57,9 +61,13 @@
 
 /// Polls until the platform has counted what `done` waits for.
 async fn until(done: impl Fn() -> bool) {
-    while !done() {
-        tokio::task::yield_now().await;
+    for _ in 0..POLLS {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
     }
+    panic!("what was waited for did not come");
 }
 
 /// Runs `other` while `hanging` is polled; the latter must not end meanwhile.
--- a/crates/fakes/tests/server_faults.rs
+++ b/crates/fakes/tests/server_faults.rs
@@ -22,6 +22,9 @@
 use fakes::upstream::Stats;
 use wire::upstream as names;
 
+/// Polls after which a test is stuck.
+const POLLS: u32 = 20_000;
+
 fn one(service: Service) -> (Fleet, SocketAddr) {
     let service = Service { groups: 1, replicas: 1, median_us: 0, ..service };
     let settings = Settings { services: vec![service], ..Settings::default() };
@@ -65,10 +68,15 @@
     fleet.stats()["search-0-0"].clone()
 }
 
+/// Polls until the server has counted what `done` waits for.
 async fn until(done: impl Fn() -> bool) {
-    while !done() {
+    for _ in 0..POLLS {
+        if done() {
+            return;
+        }
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
+    panic!("what was waited for did not come");
 }
 
 /// Runs `other` while `hanging` is polled; the latter must not end meanwhile.
--- a/crates/fakes/tests/shard_replies.rs
+++ b/crates/fakes/tests/shard_replies.rs
@@ -26,6 +26,9 @@
 /// A service time that no test waits for, in microseconds.
 const ENDLESS_US: u64 = 3_600_000_000;
 
+/// Polls after which a test is stuck.
+const POLLS: u32 = 20_000;
+
 fn one(service: Service) -> (Fleet, SocketAddr) {
     let service = Service { groups: 1, replicas: 1, sigma: 0.0, ..service };
     let settings = Settings { services: vec![service], ..Settings::default() };
@@ -62,10 +65,15 @@
     fleet.stats()["search-0-0"].clone()
 }
 
+/// Polls until the server has counted what `done` waits for.
 async fn until(done: impl Fn() -> bool) {
-    while !done() {
+    for _ in 0..POLLS {
+        if done() {
+            return;
+        }
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
+    panic!("what was waited for did not come");
 }
 
 #[tokio::test]
--- a/crates/version/trial/src/tally.rs
+++ b/crates/version/trial/src/tally.rs
@@ -224,9 +224,7 @@
 }
 
 fn record(histogram: &mut Histogram<u64>, value: u64, count: u64) {
-    // Recording the bucket's own bound makes a copy over the wire equal.
-    let bound = histogram.highest_equivalent(value.min(LONGEST_US));
-    histogram.record_n(bound, count).expect("the histogram grows by itself");
+    histogram.record_n(value.min(LONGEST_US), count).expect("the histogram grows by itself");
 }
 
 fn merge_histogram(histogram: &mut Histogram<u64>, other: &Histogram<u64>) {
