trial: the test of equal arms has callers whose requests are alike

Cause: with the resampling of cells off (intervals from ranks alone) the test of equal arms still passed, so it did not prove the cells. It now has 60 callers of 100 requests each.

--- a/crates/version/trial/tests/fair_verdict.rs
+++ b/crates/version/trial/tests/fair_verdict.rs
@@ -56,8 +56,9 @@
 
 #[test]
 fn equal_arms_stay_undecided() {
+    // Few callers with many requests each: what is alike is not independent.
     let wins = |value| {
-        let pair = |seed| report(value, &[Arm::new("a"), Arm::new("b")], CALLERS, 20, seed);
+        let pair = |seed| report(value, &[Arm::new("a"), Arm::new("b")], 60, 100, seed);
         let reports = (0..60).map(pair);
         reports.filter(|report| report.verdict != Verdict::Undecided).count()
     };
