--- a/crates/fakes/tests/server_faults.rs
+++ b/crates/fakes/tests/server_faults.rs
@@ -22,6 +22,8 @@
 use fakes::upstream::Stats;
 use wire::upstream as names;
 
+/// After this a test is stuck.
+const STUCK: Duration = Duration::from_secs(20);
 /// Polls after which a test is stuck.
 const POLLS: u32 = 20_000;
 
@@ -46,7 +48,8 @@
 
 async fn fault(fleet: &Fleet, fault: Value) {
     let request = Request::put("/fault").body(Full::from(fault.to_string()));
-    let response = http::send(fleet.control(), request.expect("it is well-formed")).await;
+    let sent = http::send(fleet.control(), request.expect("it is well-formed"));
+    let response = tokio::time::timeout(STUCK, sent).await.expect("the fault comes into force");
     let status = response.expect("the control port answers").status();
     assert_eq!(status, StatusCode::OK);
 }
@@ -156,7 +159,8 @@
     hangs_during(old.send(ask(2)), async {
         let wanted = if read { 2 } else { 1 };
         until(|| stats(&fleet).sends == wanted).await;
-        assert_eq!(send(address, 3).await.status(), StatusCode::OK);
+        let new = tokio::time::timeout(STUCK, send(address, 3)).await;
+        assert_eq!(new.expect("a new connection works").status(), StatusCode::OK);
         until(|| stats(&fleet).connections == u64::from(read)).await;
     })
     .await;
@@ -196,6 +200,7 @@
     let before = send(address, 1).await;
     assert_eq!(header(&before, names::STATE), "ready");
     let mut old = Connection::open(address).await.expect("the server listens");
+    old.send(ask(2)).await.expect("the connection works");
     all(&fleet, json!({ "action": "drain" })).await;
     all(&fleet, json!({ "action": "kill" })).await;
     assert_eq!(stats(&fleet).connections, 0);
--- a/crates/fakes/tests/shard_replies.rs
+++ b/crates/fakes/tests/shard_replies.rs
@@ -26,6 +26,8 @@
 /// A service time that no test waits for, in microseconds.
 const ENDLESS_US: u64 = 3_600_000_000;
 
+/// After this a test is stuck.
+const STUCK: Duration = Duration::from_secs(20);
 /// Polls after which a test is stuck.
 const POLLS: u32 = 20_000;
 
@@ -54,7 +56,8 @@
 }
 
 async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Bytes> {
-    http::send(address, request).await.expect("the server answers")
+    let reply = tokio::time::timeout(STUCK, http::send(address, request)).await;
+    reply.expect("the test is not stuck").expect("the server answers")
 }
 
 fn header<'a>(response: &'a Response<Bytes>, name: &str) -> &'a str {
