--- a/crates/request/query/src/attempt.rs
+++ b/crates/request/query/src/attempt.rs
@@ -82,15 +82,15 @@
         self.issue(now, index, server, context);
     }
 
-    /// Whether the slot has had all its attempts. Those that were never sent added
-    /// no load and don't count for as long as the slot may be waited for.
+    /// Whether the slot has had all its attempts. Those that did not run don't
+    /// count for as long as the slot may be waited for.
     pub(crate) fn is_spent(&mut self, now: Time, index: u32) -> bool {
         let most = self.plan.settings.attempts;
         if self.slots[index as usize].attempts < most {
             return false;
         }
-        let sent = self.attempts(index).filter(|entry| entry.phase != Phase::NotSent).count();
-        sent >= most as usize || !self.may_wait(now, index)
+        let ran = self.attempts(index).filter(|entry| entry.phase.may_have_run()).count();
+        ran >= most as usize || !self.may_wait(now, index)
     }
 
     /// The slot's attempts, newest first.
--- a/crates/request/query/src/plan.rs
+++ b/crates/request/query/src/plan.rs
@@ -29,12 +29,13 @@
 pub struct Settings {
     /// Whether slow attempts are hedged.
     pub hedge: bool,
-    /// The most attempts of one shard under one snapshot, the first included.
+    /// The most attempts of one shard under one snapshot, the first included;
+    /// where coverage is valued, only those count that may have run.
     pub attempts: u32,
     /// The pause before a server is asked again, doubled after each attempt.
     pub pause: Duration,
-    /// How long a shard is waited for that no server can answer or be sent to;
-    /// only where coverage is valued, and up to the deadline at most.
+    /// How long a shard is waited for that no server holds, takes or runs; only
+    /// where coverage is valued, and up to the deadline at most.
     pub replica_wait: Duration,
     /// The time that must be left for a restart at another snapshot.
     pub restart_left: Duration,
