query: each promise under random event orders; budget shares

Found by them: a reply that was not the attempt's own, followed by "not sent" for the same attempt, turned its outcome to "not run". Now only a cancelled attempt may still be proved not to have run. Targets are weighed once in the step of the start, so that a recorded trace is complete.

--- a/crates/request/query/src/machine.rs
+++ b/crates/request/query/src/machine.rs
@@ -148,6 +148,8 @@
             return self.refuse(Cause::Deadline, context);
         }
         self.pin(target);
+        // All targets were just weighed, each shard asked about once.
+        self.weighed = Some(now);
         self.fan_out(now, context);
     }
 
@@ -246,8 +248,9 @@
     ) {
         let Some(entry) = self.tries.get_mut(attempt) else { return };
         if !entry.live {
-            // A cancelled attempt may still be proved not to have run.
-            if entry.phase == Phase::Unknown {
+            // Only what was cancelled may still be proved not to have run; an
+            // attempt that ended by itself has ended for good.
+            if entry.phase == Phase::Cancelled {
                 entry.phase = phase;
             }
             return;
@@ -305,7 +308,7 @@
         entry.live = false;
         entry.phase = match entry.phase {
             Phase::Queued => Phase::NotSent,
-            _ => Phase::Unknown,
+            _ => Phase::Cancelled,
         };
         self.slots[entry.slot as usize].live -= 1;
         context.actions.push(Action::Cancel { attempt });
--- a/crates/request/query/src/slot.rs
+++ b/crates/request/query/src/slot.rs
@@ -80,6 +80,8 @@
     Refused,
     /// Its own whole reply came.
     Ran,
+    /// Given up after it was sent, and nothing heard since.
+    Cancelled,
     /// Ended otherwise.
     Unknown,
 }
@@ -87,7 +89,7 @@
 impl Phase {
     /// Whether an attempt of this phase may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::Sent | Self::Ran | Self::Unknown)
+        matches!(self, Self::Sent | Self::Ran | Self::Cancelled | Self::Unknown)
     }
 }
 
--- a/crates/request/query/src/verify.rs
+++ b/crates/request/query/src/verify.rs
@@ -118,6 +118,7 @@
     Sent,
     NotRun(Option<Reason>),
     Ran,
+    Cancelled,
     Unknown,
 }
 
@@ -139,6 +140,8 @@
     made: Vec<Made>,
     /// Shards with a reply of their own, and by whom.
     covered: BTreeMap<u32, Server>,
+    /// Shards to which a reply of another snapshot came.
+    mixed: BTreeSet<u32>,
     sends: u32,
     to_discard: Option<Attempt>,
     gone: bool,
@@ -156,6 +159,7 @@
             restarts: 0,
             made: Vec::new(),
             covered: BTreeMap::new(),
+            mixed: BTreeSet::new(),
             sends: 0,
             to_discard: None,
             gone: false,
@@ -222,6 +226,9 @@
             self.covered.insert(made.shard.as_u32(), made.server);
         } else {
             made.end = Fate::Unknown;
+            if reply.snapshot.as_ref() != Some(&made.snapshot) {
+                self.mixed.insert(made.shard.as_u32());
+            }
             self.to_discard = Some(attempt);
         }
     }
@@ -231,7 +238,7 @@
             self.sent(attempt);
         }
         let Some(made) = self.made.get_mut(attempt.as_u32() as usize) else { return };
-        if !made.live && made.end != Fate::Unknown {
+        if !made.live && made.end != Fate::Cancelled {
             return;
         }
         made.live = false;
@@ -309,7 +316,7 @@
         made.live = false;
         made.end = match made.end {
             Fate::Queued => Fate::NotRun(None),
-            _ => Fate::Unknown,
+            _ => Fate::Cancelled,
         };
     }
 
@@ -339,6 +346,9 @@
         self.expect(whole, Fault::Coverage);
         let merged = self.covered.keys().copied().eq(answer.covered.iter().copied());
         self.expect(merged, Fault::Merge);
+        let own = |shard| self.covered.contains_key(shard) || !self.mixed.contains(shard);
+        let one = answer.covered.iter().all(own);
+        self.expect(one, Fault::Snapshot);
         for missing in &answer.missing {
             let told = self.is_reason(missing, target);
             self.expect(told, Fault::Reason);
--- /dev/null
+++ b/crates/request/query/tests/budget_shares.rs
@@ -0,0 +1,50 @@
+//! Extra sends stay within their shares and stop under overload.
+
+use base::time::Time;
+use query::budget::Shared;
+use query::context::Budget;
+
+const FIRST_SENDS: u32 = 10_000;
+
+/// Asks for an extra send of each kind after every first send.
+fn taken(budget: &mut Shared) -> (u32, u32) {
+    let (mut hedges, mut retries) = (0, 0);
+    for _ in 0..FIRST_SENDS {
+        budget.first_send(Time::ZERO);
+        hedges += u32::from(budget.take_hedge(Time::ZERO));
+        retries += u32::from(budget.take_retry(Time::ZERO));
+    }
+    (hedges, retries)
+}
+
+#[test]
+fn shares_hold() {
+    let burst = Shared::BURST as u32;
+    let (hedges, retries) = taken(&mut Shared::new(5.0, 10.0));
+    assert!((500..=500 + burst).contains(&hedges), "{hedges} hedges");
+    assert!((1000..=1000 + burst).contains(&retries), "{retries} retries");
+}
+
+#[test]
+fn clones_share() {
+    let mut budget = Shared::with_burst(5.0, 10.0, 2);
+    let mut other = budget.clone();
+    assert!(budget.take_hedge(Time::ZERO));
+    assert!(other.take_hedge(Time::ZERO));
+    assert!(!budget.take_hedge(Time::ZERO));
+    assert_eq!(budget.to_string(), "0 hedges, 2 retries left");
+}
+
+#[test]
+fn overload_stops_both() {
+    let mut budget = Shared::new(5.0, 10.0);
+    budget.set_overloaded(true);
+    assert_eq!(taken(&mut budget), (0, 0));
+    budget.set_overloaded(false);
+    assert!(budget.take_hedge(Time::ZERO) && budget.take_retry(Time::ZERO));
+}
+
+#[test]
+fn zero_share_allows_none() {
+    assert_eq!(taken(&mut Shared::new(0.0, 0.0)), (0, 0));
+}
--- /dev/null
+++ b/crates/request/query/tests/random_orders.rs
@@ -0,0 +1,246 @@
+//! Each promise under events in any order, sensible or not.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::sample::select;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRunner;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use base::entity::Attempt;
+use base::entity::Server;
+use base::entity::Shard;
+use base::time::Time;
+use query::budget::Shared;
+use query::context::Chooser;
+use query::context::Context;
+use query::event::Action;
+use query::event::End;
+use query::event::Event;
+use query::event::Reply;
+use query::machine::Machine;
+use query::plan::Plan;
+use query::plan::Target;
+use query::record::Recorder;
+use query::trace::Trace;
+use query::verify;
+use query::verify::Fault;
+use wire::caller::Reason;
+use wire::id;
+use wire::id::Incarnation;
+use wire::id::Snapshot;
+
+const CASES: u32 = 2000;
+const DEADLINE: Time = Time::from_millis(200);
+
+/// A chooser that answers anything.
+struct Whim(ChaCha8Rng);
+
+impl Chooser for Whim {
+    fn choose(
+        &mut self,
+        _now: Time,
+        _snapshot: &Snapshot,
+        shard: Shard,
+        _tried: &[Server],
+    ) -> Result<Server, Reason> {
+        match self.0.random_range(0..8) {
+            0 => Err(Reason::NoReplica),
+            1 => Err(Reason::Leaving),
+            pick => Ok(Server::from_u32(shard.as_u32() * 3 + pick % 3)),
+        }
+    }
+
+    fn holds(&self, snapshot: &Snapshot, shard: Shard) -> bool {
+        self.0.clone().random_range(0..100) != snapshot.version + u64::from(shard.as_u32())
+    }
+
+    fn hedge_delay(&self, _server: Server) -> Duration {
+        Duration::from_millis(5)
+    }
+}
+
+/// An event in the making: its kind, whose it is, what is odd about it, and the
+/// microseconds since the last one.
+#[derive(Clone, Debug)]
+struct Draft {
+    kind: u8,
+    attempt: u32,
+    oddity: u8,
+    span: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Setup {
+    once: bool,
+    tail: bool,
+    seed: u64,
+    drafts: Vec<Draft>,
+}
+
+fn setups(once: Option<bool>) -> impl Strategy<Value = Setup> {
+    let draft = (0_u8..16, 0_u32..8, 0_u8..12, select(&[0_u64, 50, 900, 6000, 40_000][..]));
+    let draft =
+        draft.prop_map(|(kind, attempt, oddity, span)| Draft { kind, attempt, oddity, span });
+    (any::<bool>(), any::<bool>(), any::<u64>(), vec(draft, 1..60)).prop_map(
+        move |(drawn, tail, seed, drafts)| {
+            let once = once.unwrap_or(drawn && tail);
+            Setup { once, tail: tail && !once, seed, drafts }
+        },
+    )
+}
+
+fn target(map: &str, version: u64, shards: u32) -> Target {
+    let snapshot = Snapshot { version, map: map.into() };
+    Target { snapshot, shards: (0..shards).map(Shard::from_u32).collect() }
+}
+
+fn plan(setup: &Setup) -> Plan {
+    let targets = if setup.once {
+        vec![target("a", 2, 1), target("a", 3, 1), target("a", 1, 1)]
+    } else {
+        vec![target("a", 2, 3), target("b", 3, 4), target("a", 1, 3)]
+    };
+    let plan = Plan::new(Incarnation(7), 9, targets, DEADLINE).with_min_version(2);
+    match (setup.once, setup.tail) {
+        (true, _) => plan.with_non_idempotent(),
+        (_, true) => plan.with_slice(Time::from_millis(60)),
+        _ => plan,
+    }
+}
+
+/// The newest attempts come first, since the older ones have often ended.
+fn pick(draft: &Draft, sends: &[(Shard, Snapshot)]) -> u32 {
+    (sends.len() as u32).saturating_sub(1 + draft.attempt)
+}
+
+fn reply(draft: &Draft, number: u32, sends: &[(Shard, Snapshot)]) -> Reply {
+    let (shard, snapshot) = sends[number as usize].clone();
+    let other = &sends[(number as usize + 1) % sends.len()];
+    let id = id::Attempt { node: Incarnation(7), request: 9, attempt: number };
+    let mut reply = Reply {
+        echo: Some(id),
+        snapshot: Some(snapshot.clone()),
+        shard: Some(shard),
+        complete: true,
+        body: serde_json::Value::Null,
+    };
+    match draft.oddity {
+        0 => reply.echo = None,
+        1 => reply.echo = Some(id::Attempt { attempt: number + 1, ..id }),
+        2 => reply.echo = Some(id::Attempt { request: 8, ..id }),
+        3 => reply.snapshot = Some(Snapshot { version: snapshot.version + 1, ..snapshot }),
+        4 => reply.snapshot = Some(Snapshot { map: "c".into(), ..snapshot }),
+        5 => reply.shard = Some(Shard::from_u32(shard.as_u32() + 1)),
+        6 => reply.complete = false,
+        7 => reply.snapshot = Some(other.1.clone()),
+        _ => {}
+    }
+    reply
+}
+
+fn event(draft: &Draft, sends: &[(Shard, Snapshot)]) -> Event {
+    let number = pick(draft, sends);
+    let attempt = Attempt::from_u32(number);
+    match draft.kind {
+        0..5 => Event::Sent { attempt },
+        5..9 if !sends.is_empty() => Event::Replied { attempt, reply: reply(draft, number, sends) },
+        9 => Event::Ended { attempt, end: End::Unknown },
+        10 => Event::Ended { attempt, end: End::NotSent(Reason::Unreachable) },
+        11 | 12 => {
+            let retry_after = (draft.oddity > 6).then_some(Duration::from_millis(3));
+            Event::Ended { attempt, end: End::Refused { retry_after, state: None } }
+        }
+        13 if draft.oddity == 0 => Event::CallerGone,
+        _ => Event::Timer,
+    }
+}
+
+fn run(setup: &Setup) -> Trace {
+    let plan = plan(setup);
+    let mut machine = Machine::new(plan.clone());
+    let recorder = Recorder::new();
+    let mut whim = Whim(ChaCha8Rng::seed_from_u64(setup.seed));
+    let mut shared = Shared::new(5.0, 10.0);
+    let mut chooser = recorder.chooser(&mut whim);
+    let mut budget = recorder.budget(&mut shared);
+    let mut context = Context::new(&mut chooser, &mut budget);
+    let mut sends = Vec::new();
+    let mut now = Time::ZERO;
+    let mut handle = |now, event: Event, sends: &mut Vec<(Shard, Snapshot)>| {
+        recorder.event(now, &event);
+        machine.handle(now, event, &mut context);
+        recorder.actions(now, &context.actions);
+        for action in context.actions.drain(..) {
+            if let Action::Send { shard, snapshot, .. } = action {
+                sends.push((shard, snapshot));
+            }
+        }
+    };
+    handle(now, Event::Start, &mut sends);
+    for draft in &setup.drafts {
+        now = now + Duration::from_micros(draft.span);
+        handle(now, event(draft, &sends), &mut sends);
+    }
+    handle(now.max(DEADLINE), Event::Timer, &mut sends);
+    recorder.trace(&plan)
+}
+
+/// Runs random orders and wants none of `faults`, nor a replay that differs.
+fn hold(once: Option<bool>, faults: &[Fault]) {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x51ab),
+        ..Config::default()
+    };
+    let result = TestRunner::new(config).run(&setups(once), |setup| {
+        let trace = run(&setup);
+        let found: BTreeSet<Fault> =
+            verify::check(&trace).into_iter().map(|finding| finding.fault).collect();
+        let broken: Vec<&Fault> = faults.iter().filter(|fault| found.contains(fault)).collect();
+        if !broken.is_empty() {
+            return Err(TestCaseError::fail(format!("{broken:?}\n{trace}")));
+        }
+        if trace.replayed() != trace {
+            return Err(TestCaseError::fail(format!("the replay differs\n{trace}")));
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn one_snapshot() {
+    hold(None, &[Fault::Snapshot, Fault::Foreign, Fault::Restart]);
+}
+
+#[test]
+fn true_coverage() {
+    hold(Some(false), &[Fault::Coverage, Fault::Merge, Fault::Reason, Fault::Late]);
+}
+
+#[test]
+fn right_caller() {
+    hold(None, &[Fault::Merge, Fault::Undiscarded, Fault::Running, Fault::Action]);
+}
+
+#[test]
+fn true_not_run() {
+    hold(None, &[Fault::Outcome, Fault::Held, Fault::Sends]);
+}
+
+#[test]
+fn at_most_once() {
+    hold(Some(true), &[Fault::Repeat, Fault::Outcome]);
+}
