query: what the tests see when a mechanism is off

The check at the moment of sending was seen by no test at first; the matrix now counts attempts that are sent after their cancel, and the random orders ask after each cancel.

--- a/crates/request/query/tests/fault_matrix.rs
+++ b/crates/request/query/tests/fault_matrix.rs
@@ -22,6 +22,9 @@
     if mode == Mode::Once && run.ran.len() > 1 {
         findings.push(format!("ran {} times", run.ran.len()));
     }
+    if !run.stray.is_empty() {
+        findings.push(format!("sent after cancel: {:?}", run.stray));
+    }
     match &run.last {
         None => findings.push("no final word".to_owned()),
         Some(Final::Refusal(refusal)) => {
--- a/crates/request/query/tests/random_orders.rs
+++ b/crates/request/query/tests/random_orders.rs
@@ -180,8 +180,12 @@
         machine.handle(now, event, &mut context);
         recorder.actions(now, &context.actions);
         for action in context.actions.drain(..) {
-            if let Action::Send { shard, snapshot, .. } = action {
-                sends.push((shard, snapshot));
+            match action {
+                Action::Send { shard, snapshot, .. } => sends.push((shard, snapshot)),
+                Action::Cancel { attempt } => {
+                    assert!(!machine.may_send(attempt), "{attempt} may be sent after its cancel");
+                }
+                _ => {}
             }
         }
     };
--- a/crates/request/query/tests/support/mod.rs
+++ b/crates/request/query/tests/support/mod.rs
@@ -132,6 +132,8 @@
     pub last: Option<Final>,
     /// The attempts that an upstream ran, or may have run.
     pub ran: BTreeSet<u32>,
+    /// The attempts that were sent after they had been cancelled.
+    pub stray: BTreeSet<u32>,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -234,6 +236,8 @@
     happenings: Vec<Happening>,
     wakes: u64,
     ran: BTreeSet<u32>,
+    cancelled: BTreeSet<u32>,
+    stray: BTreeSet<u32>,
     last: Option<Final>,
 }
 
@@ -274,10 +278,12 @@
         happenings: Vec::new(),
         wakes: 0,
         ran: BTreeSet::new(),
+        cancelled: BTreeSet::new(),
+        stray: BTreeSet::new(),
         last: None,
     };
     world.run();
-    Run { trace: world.recorder.trace(&plan), last: world.last, ran: world.ran }
+    Run { trace: world.recorder.trace(&plan), last: world.last, ran: world.ran, stray: world.stray }
 }
 
 impl World {
@@ -336,7 +342,10 @@
                 self.happenings.push(Happening::Wake(self.wakes));
             }
             Action::Finish(last) => self.last = Some(last),
-            Action::Cancel { .. } | Action::Discard { .. } => {}
+            Action::Cancel { attempt } => {
+                self.cancelled.insert(attempt.as_u32());
+            }
+            Action::Discard { .. } => {}
         }
     }
 
@@ -347,6 +356,9 @@
             if !self.machine.may_send(attempt) {
                 return;
             }
+            if self.cancelled.contains(&number) {
+                self.stray.insert(number);
+            }
             self.deliver(Event::Sent { attempt });
         }
         let before = self.reply(number);
