--- a/crates/request/once/src/entry.rs
+++ b/crates/request/once/src/entry.rs
@@ -11,7 +11,7 @@
 /// How far a ticket came.
 #[derive(Clone, Debug, PartialEq)]
 pub enum State {
-    /// No request has come, or the last one ended as not run.
+    /// No request has come.
     Idle,
     /// A request runs; nothing is sent.
     Running,
@@ -32,14 +32,14 @@
     pub send_by: Time,
     /// Until when it may first be used.
     pub use_by: Time,
-    /// When the entry may be forgotten; never while its request runs.
+    /// When the entry may be forgotten; long after its request may last be sent.
     pub expires: Time,
 }
 
 impl Entry {
     /// An unused ticket.
-    pub fn new(use_by: Time) -> Self {
-        Self { fingerprint: None, state: State::Idle, send_by: use_by, use_by, expires: use_by }
+    pub fn new(use_by: Time, expires: Time) -> Self {
+        Self { fingerprint: None, state: State::Idle, send_by: use_by, use_by, expires }
     }
 
     /// Whether its request may be sent at `now`.
--- a/crates/request/once/src/outcome.rs
+++ b/crates/request/once/src/outcome.rs
@@ -24,9 +24,12 @@
 }
 
 impl Final {
-    /// Whether it says that nothing ran.
-    pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Refusal(refusal) if refusal.outcome == Outcome::NotRun)
+    /// The same, but that it may have run.
+    pub(crate) fn with_doubt(mut self) -> Self {
+        if let Self::Refusal(refusal) = &mut self {
+            refusal.outcome = Outcome::Unknown;
+        }
+        self
     }
 }
 
--- a/crates/request/once/src/table.rs
+++ b/crates/request/once/src/table.rs
@@ -2,8 +2,8 @@
 //!
 //! Invariants: only the minter's table lets a ticket's request be sent, and for
 //! each ticket at most one send is outstanding or may have run; a forgotten,
-//! foreign or sealed ticket never runs. The table never forgets a ticket that
-//! may still be used or whose request runs: when it is full it mints no more.
+//! foreign or sealed ticket never runs, nor one whose outcome was told. The table never forgets a ticket that
+//! may still be used or whose request may run: when it is full it mints no more.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -55,28 +55,30 @@
 }
 
 /// A ledger of a stopped peer.
+#[derive(Clone, Debug)]
 struct Adopted {
     ledger: Ledger,
     expires: Time,
 }
 
 /// The ticket table of one node incarnation.
+#[derive(Clone, Debug)]
 pub struct Table {
     incarnation: Incarnation,
     capacity: usize,
     keep: Duration,
     next: u64,
     entries: HashMap<u64, Entry>,
-    /// Entries that may be forgotten, by when.
+    /// When each entry may be forgotten, earliest first.
     expiries: BTreeSet<(Time, u64)>,
     adopted: BTreeMap<Incarnation, Adopted>,
     sealed: bool,
 }
 
 impl Table {
-    /// An empty table. A ticket may be used for `keep` after it was minted, and
-    /// its outcome is remembered for as long after it is known. `capacity`
-    /// bounds the tickets that are remembered, adopted ones included.
+    /// An empty table. A ticket may be used for `keep` after it was minted, and is
+    /// remembered for as long after that and after its outcome is known.
+    /// `capacity` bounds the tickets that are remembered, adopted ones included.
     pub fn new(incarnation: Incarnation, capacity: usize, keep: Duration) -> Self {
         Self {
             incarnation,
@@ -120,7 +122,9 @@
     fn mint_one(&mut self, now: Time) -> Ticket {
         let number = self.next;
         self.next += 1;
-        let entry = Entry::new(now + self.keep);
+        // Remembered after it may be used, so that a late use is told "not run".
+        let use_by = now + self.keep;
+        let entry = Entry::new(use_by, use_by + self.keep);
         self.expiries.insert((entry.expires, number));
         self.entries.insert(number, entry);
         Ticket { minter: self.incarnation, number }
@@ -150,8 +154,8 @@
                 entry.fingerprint = Some(fingerprint);
                 entry.state = State::Running;
                 entry.send_by = deadline.min(entry.use_by);
-                let expires = entry.expires;
-                self.expiries.remove(&(expires, ticket.number));
+                let expires = entry.use_by.max(deadline) + self.keep;
+                reschedule(&mut self.expiries, ticket.number, entry, expires);
                 Begin::Run
             }
         }
@@ -205,26 +209,23 @@
 
     /// Ends the run of a ticket and returns what must be told.
     ///
-    /// After "not run" the ticket may be used again. "Not run" about a request
-    /// that was sent without a certificate is turned into "unknown".
-    pub fn finish(&mut self, ticket: Ticket, mut last: Final, now: Time) -> Final {
+    /// "Not run" is as final as the rest: a delayed copy of the request must not
+    /// run after it was told, so another try takes another ticket. "Not run" about
+    /// a request that was sent without a certificate, or that is forgotten, is
+    /// turned into "unknown"; what was told first stands.
+    pub fn finish(&mut self, ticket: Ticket, last: Final, now: Time) -> Final {
         let keep = self.keep;
-        let sealed = self.sealed;
-        let Some(entry) = self.own_mut(ticket) else { return last };
-        match entry.state {
-            State::Idle | State::Done(_) => return last,
-            State::Running | State::Sent => {}
-        }
-        if entry.state == State::Sent
-            && let Final::Refusal(refusal) = &mut last
-        {
-            refusal.outcome = Outcome::Unknown;
-        }
-        let again = last.is_not_run() && !sealed;
-        entry.state = if again { State::Idle } else { State::Done(last.clone()) };
-        entry.expires = if again { entry.use_by } else { now + keep };
-        let expires = entry.expires;
-        self.expiries.insert((expires, ticket.number));
+        let own = ticket.minter == self.incarnation;
+        let Some(entry) = self.entries.get_mut(&ticket.number).filter(|_| own) else {
+            return last.with_doubt();
+        };
+        let last = match &entry.state {
+            State::Done(told) => return told.clone(),
+            State::Idle | State::Running => last,
+            State::Sent => last.with_doubt(),
+        };
+        entry.state = State::Done(last.clone());
+        reschedule(&mut self.expiries, ticket.number, entry, now + keep);
         last
     }
 
@@ -263,7 +264,7 @@
         if self.sealed {
             return Err(Unadopted::Sealed);
         }
-        if self.len() + sealed.len() > self.capacity {
+        if self.len() + self.growth(&sealed) > self.capacity {
             return Err(Unadopted::Full);
         }
         let expires = now + self.keep;
@@ -281,6 +282,17 @@
         Ok(())
     }
 
+    /// How many tickets of `sealed` aren't known here: a hand-over whose answer was
+    /// lost is sent again.
+    fn growth(&self, sealed: &Sealed) -> usize {
+        let new = |ledger: &Ledger| {
+            let known = self.adopted.get(&ledger.minter).map(|adopted| &adopted.ledger.records);
+            let known = |number| known.is_some_and(|records| records.contains_key(number));
+            ledger.records.keys().filter(|number| !known(number)).count()
+        };
+        sealed.ledgers.iter().map(new).sum()
+    }
+
     /// Forgets what can't be asked for any more.
     fn forget(&mut self, now: Time) {
         while let Some(&(expires, number)) = self.expiries.first()
@@ -293,6 +305,12 @@
     }
 }
 
+fn reschedule(expiries: &mut BTreeSet<(Time, u64)>, number: u64, entry: &mut Entry, expires: Time) {
+    expiries.remove(&(entry.expires, number));
+    entry.expires = expires;
+    expiries.insert((expires, number));
+}
+
 impl fmt::Display for Table {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let sealed = if self.sealed { ", sealed" } else { "" };
