query: a wide fan-out may use its whole share of hedges; cost of a shard

The bucket kept 10 extra sends at most, so a query to 1,600 shards was allowed 10 hedges of its 80 (5%): found by the example, whose query did not end. What was earned in the last one to two seconds is now kept.

--- /dev/null
+++ b/crates/request/query/examples/shard_cost.rs
@@ -0,0 +1,141 @@
+//! Measures what the state machine costs for each shard of a query.
+//!
+//! `cargo run --release -p query --example shard_cost`: prints the median and
+//! the quartiles of many whole queries, without I/O, in nanoseconds a shard.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::entity::Server;
+use base::entity::Shard;
+use base::time::Time;
+use query::budget::Shared;
+use query::context::Budget;
+use query::context::Chooser;
+use query::context::Context;
+use query::event::Action;
+use query::event::Event;
+use query::event::Reply;
+use query::machine::Machine;
+use query::plan::Plan;
+use query::plan::Target;
+use query::record::Recorder;
+use wire::caller::Reason;
+use wire::id::Incarnation;
+use wire::id::Snapshot;
+
+const SIZES: [u32; 4] = [10, 100, 1600, 6400];
+const ROUNDS: usize = 201;
+const REPLICAS: u32 = 3;
+
+/// The cheapest chooser there is, so that its cost is left out.
+struct First;
+
+impl Chooser for First {
+    fn choose(
+        &mut self,
+        _now: Time,
+        _snapshot: &Snapshot,
+        shard: Shard,
+        tried: &[Server],
+    ) -> Result<Server, Reason> {
+        Ok(Server::from_u32(shard.as_u32() * REPLICAS + tried.len() as u32 % REPLICAS))
+    }
+
+    fn holds(&self, _snapshot: &Snapshot, _shard: Shard) -> bool {
+        true
+    }
+
+    fn hedge_delay(&self, _server: Server) -> Duration {
+        Duration::from_millis(10)
+    }
+}
+
+/// Runs one query: every `nth` shard is hedged, the rest answer at once.
+fn run(target: &Target, hedged: u32, recorder: Option<&Recorder>) {
+    let (mut first, mut shared) = (First, Shared::new(5.0, 10.0));
+    let (mut watched, mut counted);
+    let (chooser, budget): (&mut dyn Chooser, &mut dyn Budget) = match recorder {
+        None => (&mut first, &mut shared),
+        Some(recorder) => {
+            watched = recorder.chooser(&mut first);
+            counted = recorder.budget(&mut shared);
+            (&mut watched, &mut counted)
+        }
+    };
+    let mut context = Context::new(chooser, budget);
+    let plan = Plan::new(Incarnation(1), 1, vec![target.clone()], Time::from_millis(1000));
+    let mut machine = Machine::new(plan);
+    let mut sends = Vec::new();
+    let mut handle = |now, event: Event| {
+        if let Some(recorder) = recorder {
+            recorder.event(now, &event);
+        }
+        machine.handle(now, event, &mut context);
+        if let Some(recorder) = recorder {
+            recorder.actions(now, &context.actions);
+        }
+        for action in context.actions.drain(..) {
+            if let Action::Send { attempt, shard, .. } = action {
+                sends.push((attempt, shard, machine.id(attempt)));
+            }
+        }
+        std::mem::take(&mut sends)
+    };
+    let firsts = handle(Time::ZERO, Event::Start);
+    let mut reply = |now, (attempt, shard, id)| {
+        handle(now, Event::Sent { attempt });
+        let reply = Reply {
+            echo: Some(id),
+            snapshot: Some(target.snapshot.clone()),
+            shard: Some(shard),
+            complete: true,
+            body: serde_json::Value::Null,
+        };
+        handle(now, Event::Replied { attempt, reply });
+    };
+    let slow = |shard: Shard| hedged > 0 && shard.as_u32().is_multiple_of(hedged);
+    for &send in firsts.iter().filter(|(_, shard, _)| !slow(*shard)) {
+        reply(Time::from_millis(1), send);
+    }
+    if hedged > 0 {
+        let hedges = handle(Time::from_millis(10), Event::Timer);
+        for send in hedges {
+            handle(Time::from_millis(11), Event::Sent { attempt: send.0 });
+            let reply = Reply {
+                echo: Some(send.2),
+                snapshot: Some(target.snapshot.clone()),
+                shard: Some(send.1),
+                complete: true,
+                body: serde_json::Value::Null,
+            };
+            handle(Time::from_millis(12), Event::Replied { attempt: send.0, reply });
+        }
+    }
+    assert!(machine.is_sealed(), "the query did not end");
+}
+
+fn measure(name: &str, shards: u32, hedged: u32, recorded: bool) {
+    let snapshot = Snapshot { version: 1, map: "m".into() };
+    let target = Target { snapshot, shards: (0..shards).map(Shard::from_u32).collect() };
+    let mut costs: Vec<f64> = (0..ROUNDS)
+        .map(|_| {
+            let recorder = recorded.then(Recorder::new);
+            let begin = Instant::now();
+            run(&target, hedged, recorder.as_ref());
+            begin.elapsed().as_nanos() as f64 / f64::from(shards)
+        })
+        .collect();
+    costs.sort_by(f64::total_cmp);
+    let at = |part: usize| costs[ROUNDS * part / 4];
+    println!("{name:<24}{shards:>6}{:>8.0}{:>8.0}{:>8.0}", at(1), at(2), at(3));
+}
+
+fn main() {
+    println!("{:<24}{:>6}{:>8}{:>8}{:>8}", "ns a shard", "shards", "q1", "median", "q3");
+    for shards in SIZES {
+        measure("healthy", shards, 0, false);
+        measure("one in 20 hedged", shards, 20, false);
+        measure("healthy, recorded", shards, 0, true);
+    }
+}
--- a/crates/request/query/src/attempt.rs
+++ b/crates/request/query/src/attempt.rs
@@ -38,17 +38,20 @@
 
     /// Chooses a server for the slot among those not tried, if there is one.
     pub(crate) fn choose(
-        &self,
+        &mut self,
         now: Time,
         index: u32,
         context: &mut Context<'_>,
     ) -> Result<(Server, bool), Reason> {
         let shard = self.slots[index as usize].shard;
-        context.tried.clear();
-        context.tried.extend(self.attempts(index).map(|entry| entry.server));
+        let mut tried = std::mem::take(&mut self.tried);
+        tried.clear();
+        tried.extend(self.attempts(index).map(|entry| entry.server));
         let snapshot = &self.plan.targets[self.target].snapshot;
-        let server = context.chooser.choose(now, snapshot, shard, &context.tried)?;
-        Ok((server, !context.tried.contains(&server)))
+        let choice = context.chooser.choose(now, snapshot, shard, &tried);
+        let choice = choice.map(|server| (server, !tried.contains(&server)));
+        self.tried = tried;
+        choice
     }
 
     /// Makes an attempt for a slot without a live one, now or after a pause.
--- a/crates/request/query/src/budget.rs
+++ b/crates/request/query/src/budget.rs
@@ -1,7 +1,9 @@
 //! Extra sends as a share of first sends.
 //!
 //! Invariant: over any span, the hedges (or retries) taken are at most their
-//! share of the first sends in it plus the burst; none is taken while overloaded.
+//! share of the first sends in it and in the two [`WINDOW`]s before it, plus the
+//! burst; none is taken while overloaded. So a wide fan-out may use its whole
+//! share at once, and what a busy minute left unused doesn't last.
 
 use std::fmt;
 use std::sync::Arc;
@@ -15,25 +17,54 @@
 /// What one extra send costs; a share is given in these per first send.
 const UNIT: u64 = 10_000;
 
+/// For how long what was earned may be used, in microseconds.
+const WINDOW: u64 = 1_000_000;
+
 /// A bucket that first sends fill and extra sends empty.
 struct Bucket {
     /// Tokens added by one first send, in parts of [`UNIT`].
     share: u64,
-    /// The most tokens kept.
-    most: u64,
+    /// Tokens that are kept in any case.
+    burst: u64,
     tokens: AtomicU64,
+    /// The number of the current window.
+    window: AtomicU64,
+    /// Tokens earned in the current window, and in the one before it.
+    earned: AtomicU64,
+    before: AtomicU64,
 }
 
 impl Bucket {
     fn new(percent: f64, burst: u64) -> Self {
         let share = (percent.clamp(0.0, 100.0) / 100.0 * UNIT as f64) as u64;
-        let most = if share == 0 { 0 } else { burst.saturating_mul(UNIT) };
-        Self { share, most, tokens: AtomicU64::new(most) }
+        let burst = if share == 0 { 0 } else { burst.saturating_mul(UNIT) };
+        Self {
+            share,
+            burst,
+            tokens: AtomicU64::new(burst),
+            window: AtomicU64::new(0),
+            earned: AtomicU64::new(0),
+            before: AtomicU64::new(0),
+        }
     }
 
-    fn fill(&self) {
-        let add = |tokens: u64| (tokens < self.most).then(|| (tokens + self.share).min(self.most));
-        // The error only tells that the bucket is full.
+    fn fill(&self, now: Time) {
+        let window = now.0 / WINDOW;
+        let last = self.window.load(Ordering::Relaxed);
+        let turned = last < window
+            && self
+                .window
+                .compare_exchange(last, window, Ordering::Relaxed, Ordering::Relaxed)
+                .is_ok();
+        if turned {
+            let earned = self.earned.swap(0, Ordering::Relaxed);
+            let before = if last + 1 == window { earned } else { 0 };
+            self.before.store(before, Ordering::Relaxed);
+        }
+        let earned = self.earned.fetch_add(self.share, Ordering::Relaxed) + self.share;
+        let most = earned.max(self.before.load(Ordering::Relaxed)).max(self.burst);
+        let add = |tokens: u64| Some((tokens + self.share).min(most));
+        // The update always has a value, so it can't fail.
         let _ = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
@@ -82,9 +113,9 @@
 }
 
 impl Budget for Shared {
-    fn first_send(&mut self, _now: Time) {
-        self.0.hedges.fill();
-        self.0.retries.fill();
+    fn first_send(&mut self, now: Time) {
+        self.0.hedges.fill(now);
+        self.0.retries.fill(now);
     }
 
     fn take_hedge(&mut self, _now: Time) -> bool {
--- a/crates/request/query/src/context.rs
+++ b/crates/request/query/src/context.rs
@@ -51,13 +51,12 @@
     pub chooser: &'a mut dyn Chooser,
     /// Bounds the extra load.
     pub budget: &'a mut dyn Budget,
-    pub(crate) tried: Vec<Server>,
 }
 
 impl<'a> Context<'a> {
     /// A context without actions.
     pub fn new(chooser: &'a mut dyn Chooser, budget: &'a mut dyn Budget) -> Self {
-        Self { actions: Vec::new(), chooser, budget, tried: Vec::new() }
+        Self { actions: Vec::new(), chooser, budget }
     }
 
     /// The context with the allocation of an earlier one's actions.
--- a/crates/request/query/src/machine.rs
+++ b/crates/request/query/src/machine.rs
@@ -22,6 +22,7 @@
 use crate::slot::Slot;
 use crate::slot::Try;
 use base::entity::Attempt;
+use base::entity::Server;
 use base::time::Time;
 use conf::object::Value;
 use wire::caller::Cause;
@@ -62,6 +63,8 @@
     stage: Stage,
     /// The last time asked for by [`Action::Wake`].
     wake: Time,
+    /// Reused for the servers that were tried for a shard.
+    pub(crate) tried: Vec<Server>,
     /// The shortest time after which an upstream wanted to be asked again.
     pub(crate) retry_after: Option<Duration>,
 }
@@ -84,6 +87,7 @@
             weighed: None,
             stage: Stage::New,
             wake: Time::NEVER,
+            tried: Vec::new(),
             retry_after: None,
         }
     }
--- a/crates/request/query/tests/budget_shares.rs
+++ b/crates/request/query/tests/budget_shares.rs
@@ -48,3 +48,21 @@
 fn zero_share_allows_none() {
     assert_eq!(taken(&mut Shared::new(0.0, 0.0)), (0, 0));
 }
+
+#[test]
+fn wide_fan_out_uses_its_whole_share() {
+    let mut budget = Shared::new(5.0, 10.0);
+    (0..1600).for_each(|_| budget.first_send(Time::ZERO));
+    let hedges = (0..1600).filter(|_| budget.take_hedge(Time::ZERO)).count();
+    assert_eq!(hedges, 80);
+}
+
+#[test]
+fn unused_share_does_not_last() {
+    let mut budget = Shared::new(5.0, 10.0);
+    (0..1600).for_each(|_| budget.first_send(Time::ZERO));
+    let later = Time::from_millis(5000);
+    budget.first_send(later);
+    let hedges = (0..1600).filter(|_| budget.take_hedge(later)).count();
+    assert_eq!(hedges as u64, Shared::BURST);
+}
