--- a/crates/request/query/src/plan.rs
+++ b/crates/request/query/src/plan.rs
@@ -80,6 +80,9 @@
     /// Where it may run, best first. One is pinned before the first send; the
     /// others are what a restart may use.
     pub targets: Vec<Target>,
+    /// Whether the caller named the shards: then only the first target's map may
+    /// answer, since their numbers mean other shards in another one.
+    pub named_shards: bool,
     /// The lowest index version that the answer may come from.
     pub min_version: u64,
     /// When the answer must be ready.
@@ -101,6 +104,7 @@
             node,
             request,
             targets,
+            named_shards: false,
             min_version: 0,
             deadline,
             slice: deadline,
@@ -118,6 +122,12 @@
         self
     }
 
+    /// The plan of a request that names its shards.
+    pub fn with_named_shards(mut self) -> Self {
+        self.named_shards = true;
+        self
+    }
+
     /// The plan with a lowest index version.
     pub fn with_min_version(mut self, version: u64) -> Self {
         self.min_version = version;
@@ -140,6 +150,7 @@
     pub fn allows(&self, index: usize) -> bool {
         let Some(target) = self.targets.get(index) else { return false };
         let single = !self.non_idempotent || target.shards.len() == 1;
-        single && target.snapshot.version >= self.min_version
+        let meant = !self.named_shards || target.snapshot.map == self.targets[0].snapshot.map;
+        single && meant && target.snapshot.version >= self.min_version
     }
 }
--- a/crates/request/query/src/read.rs
+++ b/crates/request/query/src/read.rs
@@ -102,6 +102,7 @@
                 None if value == "coverage" => self.value = Value::Coverage,
                 None => return None,
             },
+            "named_shards" => self.named_shards = value.parse().ok()?,
             "min_version" => self.min_version = value.parse().ok()?,
             "non_idempotent" => self.non_idempotent = value.parse().ok()?,
             "hedge" => settings.hedge = value.parse().ok()?,
--- a/crates/request/query/src/verify.rs
+++ b/crates/request/query/src/verify.rs
@@ -287,7 +287,10 @@
         let wanted = |target: &&Target| target.snapshot == *snapshot;
         self.pinned = self.plan.targets.iter().find(wanted);
         self.covered.clear();
-        let allowed = self.pinned.is_some() && snapshot.version >= self.plan.min_version;
+        let first = self.plan.targets.first().map(|target| &target.snapshot.map);
+        let allowed = self.pinned.is_some()
+            && snapshot.version >= self.plan.min_version
+            && (!self.plan.named_shards || first == Some(&snapshot.map));
         self.expect(allowed, Fault::Foreign);
     }
 
--- a/crates/request/query/src/write.rs
+++ b/crates/request/query/src/write.rs
@@ -49,6 +49,9 @@
             Value::Tail => writeln!(f, "; value: tail {}", self.slice)?,
             Value::Coverage => writeln!(f, "; value: coverage")?,
         }
+        if self.named_shards {
+            writeln!(f, "; named_shards: true")?;
+        }
         if self.min_version > 0 {
             writeln!(f, "; min_version: {}", self.min_version)?;
         }
--- a/crates/request/query/tests/random_orders.rs
+++ b/crates/request/query/tests/random_orders.rs
@@ -109,7 +109,8 @@
     } else {
         vec![target("a", 2, 3), target("b", 3, 4), target("a", 1, 3)]
     };
-    let plan = Plan::new(Incarnation(7), 9, targets, DEADLINE).with_min_version(2);
+    let mut plan = Plan::new(Incarnation(7), 9, targets, DEADLINE).with_min_version(2);
+    plan.named_shards = setup.seed.is_multiple_of(4);
     match (setup.once, setup.tail) {
         (true, _) => plan.with_non_idempotent(),
         (_, true) => plan.with_slice(Time::from_millis(60)),
