--- a/crates/request/query/src/machine.rs
+++ b/crates/request/query/src/machine.rs
@@ -22,6 +22,7 @@
 use crate::slot::Slot;
 use crate::slot::Try;
 use base::entity::Attempt;
+use base::entity::Server;
 use base::time::Time;
 use conf::object::Value;
 use wire::caller::Cause;
@@ -62,6 +63,8 @@
     stage: Stage,
     /// The last time asked for by [`Action::Wake`].
     wake: Time,
+    /// Reused for the servers that were tried for a shard.
+    pub(crate) tried: Vec<Server>,
     /// The shortest time after which an upstream wanted to be asked again.
     pub(crate) retry_after: Option<Duration>,
 }
@@ -84,6 +87,7 @@
             weighed: None,
             stage: Stage::New,
             wake: Time::NEVER,
+            tried: Vec::new(),
             retry_after: None,
         }
     }
@@ -148,6 +152,8 @@
             return self.refuse(Cause::Deadline, context);
         }
         self.pin(target);
+        // All targets were just weighed, each shard asked about once.
+        self.weighed = Some(now);
         self.fan_out(now, context);
     }
 
@@ -246,8 +252,9 @@
     ) {
         let Some(entry) = self.tries.get_mut(attempt) else { return };
         if !entry.live {
-            // A cancelled attempt may still be proved not to have run.
-            if entry.phase == Phase::Unknown {
+            // Only what was cancelled may still be proved not to have run; an
+            // attempt that ended by itself has ended for good.
+            if entry.phase == Phase::Cancelled {
                 entry.phase = phase;
             }
             return;
@@ -305,7 +312,7 @@
         entry.live = false;
         entry.phase = match entry.phase {
             Phase::Queued => Phase::NotSent,
-            _ => Phase::Unknown,
+            _ => Phase::Cancelled,
         };
         self.slots[entry.slot as usize].live -= 1;
         context.actions.push(Action::Cancel { attempt });
