--- a/crates/connection/pool/src/connect.rs
+++ b/crates/connection/pool/src/connect.rs
@@ -48,7 +48,7 @@
                     shared.release(server, id, link);
                 }
                 hold(wire, stop).await;
-                shared.close(server, id);
+                shared.ended(server, id);
                 sleep(shared.settings.settle).await;
                 shared.free(server, id);
             }
--- a/crates/connection/pool/src/state.rs
+++ b/crates/connection/pool/src/state.rs
@@ -139,14 +139,21 @@
         }
     }
 
-    /// Notes that a connection is of no more use; its place is freed later.
+    /// Closes a connection at once; its place is freed later.
     pub(crate) fn close(&self, server: Server, id: Connection) {
+        let stop = self.with(server, |entry| entry.stops.remove(&id));
+        if let Some(Some(stop)) = stop {
+            stop.cancel();
+        }
+        self.ended(server, id);
+    }
+
+    /// Notes that a connection has ended. What was read of its last reply may
+    /// still be on its way to the request, so nothing is cancelled.
+    pub(crate) fn ended(&self, server: Server, id: Connection) {
         self.with(server, |entry| {
             entry.detector.ended(id);
             entry.lane.close(id);
-            if let Some(stop) = entry.stops.remove(&id) {
-                stop.cancel();
-            }
         });
     }
 
