route: tests of leaving and of the order of replicas; the present life is never forgotten

Cause: the memory of ended incarnations was bounded without regard to the one that runs, so many marks of peers could have brought a leaving server back.

--- a/crates/version/route/src/leaving.rs
+++ b/crates/version/route/src/leaving.rs
@@ -22,8 +22,9 @@
 use wire::platform::Life;
 use wire::upstream::State;
 
-/// Ended incarnations that are remembered for one server.
-const REMEMBERED: usize = 16;
+/// Ended incarnations that are remembered for one server. One that is forgotten
+/// after this many restarts can only come back if it still runs.
+const REMEMBERED: usize = 256;
 
 /// How a report reached this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,7 +163,9 @@
             return;
         }
         if self.ended.len() == REMEMBERED {
-            self.ended.pop_front();
+            // The one that runs is never forgotten, whatever peers tell.
+            let oldest = self.ended.iter().position(|ended| Some(*ended) != self.current);
+            self.ended.remove(oldest.unwrap_or(0));
         }
         self.ended.push_back(incarnation);
         change.ended.push(incarnation);
