admit: limit bounded by the node's part of the slots; route: comparison in virtual time

Any waiting counted as overload and switched hedges off under 1% stragglers. Ruled out: a floor of the service time that is only learned without pressure, since a service that became slower for good would be held at the least limit.

--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -32,7 +32,7 @@
 use wire::caller::Cause;
 
 /// How long pressure counts as overload after its last sign.
-const PRESSURE: Duration = Duration::from_millis(500);
+const PRESSURE: Duration = Duration::from_millis(200);
 /// The shortest time to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(20);
 /// The longest time to come back.
@@ -62,7 +62,7 @@
     /// An idle gate.
     pub fn new(settings: Settings) -> Self {
         Self {
-            limit: Limit::new(settings.admit.most_running, settings.admit.learn),
+            limit: Limit::new(settings.admit.most_running, settings.admit.learn, settings.part),
             expect: Expect::new(settings.first_guess),
             queue: Queue::new(settings.full_cost),
             running: BTreeMap::new(),
@@ -75,9 +75,11 @@
         }
     }
 
-    /// Takes in a changed policy or shard map; what runs and waits goes on.
-    pub fn update(&mut self, admit: &Admit, shards: u32) {
-        self.limit.set(admit.most_running, admit.learn);
+    /// Takes in a changed policy, shard map or part of the slots; what runs and
+    /// waits goes on.
+    pub fn update(&mut self, admit: &Admit, shards: u32, part: Option<f64>) {
+        self.limit.set(admit.most_running, admit.learn, part);
+        self.settings.part = part;
         self.settings.admit = admit.clone();
         self.settings.full_cost = shards.max(1);
     }
@@ -94,12 +96,11 @@
             self.run(now, id, ask.cost);
             return Verdict::Admitted(id);
         }
-        self.press(now);
         let until = self.until(now, &ask);
         if self.settings.admit.deadline_aware && now + wait >= until {
             return Verdict::Refused(self.refuse(now, Cause::Overload));
         }
-        self.queue.push(Waiting { id, ask, until });
+        self.queue.push(Waiting { id, ask, since: now, until });
         if self.queue.len() <= self.settings.admit.most_waiting as usize {
             return Verdict::Queued(id);
         }
@@ -160,9 +161,10 @@
         self.queue.next_expiry()
     }
 
-    /// Whether hedges and retries must stop.
+    /// Whether hedges and retries must stop: a request was refused, here or by an
+    /// upstream, or had to wait here for longer than requests run.
     pub fn overloaded(&self, now: Time) -> bool {
-        !self.queue.is_empty() || self.pressed.is_some_and(|at| now.since(at) < PRESSURE)
+        self.pressed.is_some_and(|at| now.since(at) < PRESSURE)
     }
 
     /// Requests that run.
@@ -194,6 +196,9 @@
                 actions.push(Action::Refuse(next.id, self.refuse(now, Cause::Deadline)));
                 continue;
             }
+            if now - next.since > self.expect.mean() {
+                self.press(now);
+            }
             self.run(now, next.id, next.ask.cost);
             actions.push(Action::Run(next.id));
         }
--- a/crates/request/admit/src/queue.rs
+++ b/crates/request/admit/src/queue.rs
@@ -23,6 +23,8 @@
     pub id: Id,
     /// What it asks.
     pub ask: Ask,
+    /// When it came.
+    pub since: Time,
     /// When waiting has no more point.
     pub until: Time,
 }
--- a/crates/request/admit/src/settings.rs
+++ b/crates/request/admit/src/settings.rs
@@ -13,6 +13,9 @@
     pub admit: Admit,
     /// The cost of a request to all shards, in shards.
     pub full_cost: u32,
+    /// The requests to all shards that this node's part of the upstreams' slots
+    /// can run at once; `None` if it is not known.
+    pub part: Option<f64>,
     /// The longest wait, in percent of the time that was left on arrival.
     pub most_wait_percent: u32,
     /// The service time that is expected before any was seen.
@@ -27,12 +30,18 @@
         Self {
             admit,
             full_cost: shards.max(1),
+            part: None,
             most_wait_percent: 30,
             first_guess: Duration::from_millis(10),
             seed: 0,
         }
     }
 
+    /// The same with the part of the slots that this node may fill.
+    pub fn with_part(self, part: f64) -> Self {
+        Self { part: Some(part), ..self }
+    }
+
     /// The same with another seed.
     pub fn with_seed(self, seed: u64) -> Self {
         Self { seed, ..self }
--- /dev/null
+++ b/crates/version/route/examples/compare/node.rs
@@ -0,0 +1,162 @@
+//! One entry node: its table, its gate, its connections and its budgets.
+//!
+//! Invariant: at most the share of connections to one server is in use.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::model::CONNECTIONS;
+use crate::model::Case;
+use crate::model::GROUPS;
+use crate::model::NODES;
+use crate::model::REPLICAS;
+use crate::model::SLOTS;
+use admit::gate::Gate;
+use admit::settings::Settings as Admission;
+use base::entity::Server;
+use base::time::Time;
+use conf::catalog::Catalog;
+use conf::object;
+use conf::object::Admit;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Spec;
+use route::settings::Settings;
+use route::table::Table;
+use wire::id::Incarnation;
+use wire::id::Snapshot;
+use wire::upstream::Health;
+use wire::upstream::Holding;
+use wire::upstream::State;
+
+/// Extra sends that are allowed at once.
+const BURST: f64 = 10.0;
+
+/// A share of first sends that may be sent in addition.
+pub struct Budget {
+    share: f64,
+    left: f64,
+}
+
+impl Budget {
+    fn new(percent: f64) -> Self {
+        Self { share: percent / 100.0, left: BURST }
+    }
+
+    pub fn first(&mut self) {
+        self.left = (self.left + self.share).min(BURST);
+    }
+
+    pub fn take(&mut self) -> bool {
+        let can = self.left >= 1.0;
+        self.left -= if can { 1.0 } else { 0.0 };
+        can
+    }
+}
+
+/// The connections of a node to one server.
+pub struct Lane {
+    pub free: u32,
+    pub waiting: VecDeque<usize>,
+}
+
+pub struct Node {
+    pub table: Table,
+    pub gate: Gate,
+    pub hedges: Budget,
+    pub retries: Budget,
+    pub lanes: Vec<Lane>,
+    /// When the gate's timer is set for.
+    pub timer: Time,
+}
+
+pub fn snapshot() -> Snapshot {
+    Snapshot { version: 1, map: Arc::from("m") }
+}
+
+pub fn incarnation(server: usize) -> Incarnation {
+    Incarnation(1000 + server as u64)
+}
+
+fn name(server: u32) -> Arc<str> {
+    Arc::from(format!("desk-{server}"))
+}
+
+fn catalog() -> Catalog {
+    let server = |index: u32| object::Server {
+        name: name(index),
+        address: ([127, 0, 0, 1], 1000 + index as u16).into(),
+        data_centre: Arc::from("luzon"),
+    };
+    let group = |group: u32| object::Group {
+        servers: (0..REPLICAS).map(|replica| server(group * REPLICAS + replica)).collect(),
+    };
+    let map = object::Map { service: Arc::from("desk"), groups: (0..GROUPS).map(group).collect() };
+    let service = object::Service {
+        value: object::Value::Tail,
+        deadline_ms: 500,
+        policy: Arc::from("p"),
+        map: Arc::from("m"),
+        older_maps: Vec::new(),
+        slots: SLOTS,
+        connections: 25,
+    };
+    let object = |kind, name: &str, spec| Object {
+        key: Key { kind, name: Arc::from(name) },
+        revision: 1,
+        spec: Some(spec),
+    };
+    let objects = [
+        object(Kind::Map, "m", Spec::Map(map)),
+        object(Kind::Service, "desk", Spec::Service(service)),
+    ];
+    Catalog::new().with_objects(&objects).0
+}
+
+impl Node {
+    pub fn new(case: &Case, index: usize, seed: u64) -> Self {
+        let seed = seed * 1000 + index as u64;
+        let names: Vec<Arc<str>> =
+            (0..NODES).map(|node| Arc::from(format!("node-{node}"))).collect();
+        let settings = Settings {
+            node: Arc::clone(&names[index]),
+            seed,
+            prefer_near: false,
+            ..Settings::default()
+        };
+        let mut table = Table::new(settings);
+        table.update(&catalog());
+        table.nodes(&names);
+        for server in 0..GROUPS * REPLICAS {
+            let holding = Holding { snapshot: snapshot(), shard: server / REPLICAS };
+            let health = Health {
+                server: name(server),
+                incarnation: incarnation(server as usize),
+                state: State::Ready,
+                load: 0,
+                holds: vec![holding],
+            };
+            table.health(Time::ZERO, Server::from_u32(server), &health);
+        }
+        let admit = match case.admission {
+            true => Admit::default(),
+            false => Admit {
+                most_running: u32::MAX,
+                most_waiting: u32::MAX,
+                learn: false,
+                deadline_aware: false,
+            },
+        };
+        let part = f64::from(REPLICAS * SLOTS) / NODES as f64;
+        let lane = || Lane { free: CONNECTIONS, waiting: VecDeque::new() };
+        Self {
+            table,
+            gate: Gate::new(Admission::new(admit, GROUPS).with_part(part).with_seed(seed)),
+            hedges: Budget::new(if case.hedging { 5.0 } else { 0.0 }),
+            retries: Budget::new(10.0),
+            lanes: (0..GROUPS * REPLICAS).map(|_| lane()).collect(),
+            timer: Time::NEVER,
+        }
+    }
+}
