--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -75,15 +75,21 @@
         }
     }
 
-    /// Takes in a changed policy, shard map or part of the slots; what runs and
-    /// waits goes on.
-    pub fn update(&mut self, admit: &Admit, shards: u32, part: Option<f64>) {
-        self.limit.set(admit.most_running, admit.learn, part);
-        self.settings.part = part;
+    /// Takes in a changed policy or shard map; what runs and waits goes on.
+    pub fn update(&mut self, admit: &Admit, shards: u32) {
+        self.limit.set(admit.most_running, admit.learn, self.settings.part);
         self.settings.admit = admit.clone();
         self.settings.full_cost = shards.max(1);
     }
 
+    /// Takes in the requests to all shards that this node's part of the
+    /// upstreams' slots can run at once.
+    pub fn set_part(&mut self, part: Option<f64>) {
+        let admit = &self.settings.admit;
+        self.limit.set(admit.most_running, admit.learn, part);
+        self.settings.part = part;
+    }
+
     /// Decides on a request that arrives. When the queue is full, another one
     /// may have to make room; `actions` then gets its refusal.
     pub fn offer(&mut self, now: Time, ask: Ask, actions: &mut Vec<Action>) -> Verdict {
--- a/crates/request/admit/tests/gate_verdicts.rs
+++ b/crates/request/admit/tests/gate_verdicts.rs
@@ -118,6 +118,10 @@
         assert!((2.0..=12.0).contains(&gate.limit()), "{}", gate.limit());
     }
     assert!(gate.limit() < 2.1);
+    gate.set_part(Some(4.0));
+    assert_eq!(gate.limit(), 4.0, "the part grew");
+    gate.update(&fixed(3, 64), SHARDS);
+    assert_eq!(gate.limit(), 3.0, "the policy sets the limit if nothing is learned");
 }
 
 #[test]
--- a/crates/version/route/examples/compare/main.rs
+++ b/crates/version/route/examples/compare/main.rs
@@ -12,6 +12,7 @@
 
 use crate::model::Case;
 use crate::model::Fault;
+use crate::model::Sites;
 use crate::report::Figures;
 use conf::object::Choice;
 
@@ -27,25 +28,71 @@
     })
 }
 
+/// The choices under each fault.
+fn faults(base: &Case) -> Vec<Case> {
+    let case = |fault| Choice::ALL.map(|choice| Case { choice, fault, ..base.clone() });
+    Fault::ALL.into_iter().flat_map(case).collect()
+}
+
+/// The choices at and beyond the capacity.
+fn loads(base: &Case) -> Vec<Case> {
+    let case =
+        |load_percent| Choice::ALL.map(|choice| Case { choice, load_percent, ..base.clone() });
+    [100, 200].into_iter().flat_map(case).collect()
+}
+
+/// Admission on and off.
+fn admissions(base: &Case) -> Vec<Case> {
+    let case = |admission| {
+        [70, 90, 100, 120, 150, 200].map(|load_percent| Case {
+            load_percent,
+            admission,
+            ..base.clone()
+        })
+    };
+    [true, false].into_iter().flat_map(case).collect()
+}
+
+/// When a shard is hedged.
+fn hedges(base: &Case) -> Vec<Case> {
+    let rules = [(100.0, 10), (90.0, 10), (95.0, 10), (95.0, 2), (96.0, 10), (96.0, 2), (98.0, 10)];
+    let case = |(fault, load_percent)| {
+        rules.map(|(hedge_percent, hedge_last)| Case {
+            fault,
+            load_percent,
+            hedge_percent,
+            hedge_last,
+            ..base.clone()
+        })
+    };
+    let faults = [
+        (Fault::None, 70),
+        (Fault::Stragglers(10), 70),
+        (Fault::None, 40),
+        (Fault::Stragglers(50), 40),
+    ];
+    faults.into_iter().flat_map(case).collect()
+}
+
+/// Near servers first or not, with a region between.
+fn sites(base: &Case) -> Vec<Case> {
+    let case = |choice| {
+        [true, false].map(|prefer_near| Case {
+            choice,
+            sites: Sites::Three { prefer_near },
+            ..base.clone()
+        })
+    };
+    Choice::ALL.into_iter().flat_map(case).collect()
+}
+
 fn main() {
     let seconds = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(SECONDS);
     let base = Case { seconds, ..Case::default() };
-    println!("{}", report::heading());
-    for fault in Fault::ALL {
-        for choice in Choice::ALL {
-            let case = Case { choice, fault, ..base.clone() };
-            println!("{}", report::row(&case, &run(&case)));
-        }
-    }
-    for load_percent in [100, 200] {
-        for choice in Choice::ALL {
-            let case = Case { choice, load_percent, ..base.clone() };
-            println!("{}", report::row(&case, &run(&case)));
-        }
-    }
-    for (admission, hedging) in [(true, true), (false, true), (true, false), (false, false)] {
-        for load_percent in [70, 90, 100, 120, 150, 200] {
-            let case = Case { load_percent, admission, hedging, ..base.clone() };
+    let tables = [faults(&base), loads(&base), admissions(&base), hedges(&base), sites(&base)];
+    for cases in tables {
+        println!("{}", report::heading());
+        for case in cases {
             println!("{}", report::row(&case, &run(&case)));
         }
     }
--- a/crates/version/route/examples/compare/model.rs
+++ b/crates/version/route/examples/compare/model.rs
@@ -19,8 +19,12 @@
 pub const SHED: usize = 12;
 /// Connections of one node to one server: 25 over 6 nodes and a reserve of 2.
 pub const CONNECTIONS: u32 = 3;
-/// One way between a node and a server.
-pub const ONE_WAY: Duration = Duration::from_micros(500);
+/// One way between a node and a server of the same region.
+const NEAR: Duration = Duration::from_micros(500);
+/// One way between regions.
+const FAR: Duration = Duration::from_millis(8);
+/// Data centres, each in its own region, when the fleet is spread.
+pub const SITES: [&str; 3] = ["luzon", "visayas", "mindanao"];
 /// From closing a connection until a new one is open: settling and 6 ms.
 pub const REOPEN: Duration = Duration::from_millis(26);
 /// The shortest service time.
@@ -101,10 +105,42 @@
     /// Offered load in percent of what healthy servers can do.
     pub load_percent: u32,
     pub admission: bool,
-    pub hedging: bool,
+    /// The quantile after which a shard is hedged, in percent; 100 is never.
+    pub hedge_percent: f64,
+    /// A shard is hedged only when at most this many shards are missing.
+    pub hedge_last: u32,
+    pub sites: Sites,
     pub seconds: u64,
 }
 
+/// Where nodes and servers are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sites {
+    /// All in one data centre.
+    One,
+    /// Two nodes and one server of each group in each region; the nodes prefer
+    /// near servers or not.
+    Three { prefer_near: bool },
+}
+
+impl Sites {
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::One => "one site",
+            Self::Three { prefer_near: true } => "3, near",
+            Self::Three { prefer_near: false } => "3, any",
+        }
+    }
+
+    /// The site of a node or of a replica.
+    pub fn site(self, index: usize) -> &'static str {
+        match self {
+            Self::One => SITES[0],
+            Self::Three { .. } => SITES[index % SITES.len()],
+        }
+    }
+}
+
 impl Default for Case {
     fn default() -> Self {
         Self {
@@ -112,7 +148,9 @@
             fault: Fault::None,
             load_percent: 70,
             admission: true,
-            hedging: true,
+            hedge_percent: 95.0,
+            hedge_last: GROUPS,
+            sites: Sites::One,
             seconds: 20,
         }
     }
@@ -124,6 +162,15 @@
         f64::from(REPLICAS * SLOTS) / (LEAST_US + SPREAD_US) * 1e6
     }
 
+    /// One way between a node and a server.
+    pub fn one_way(&self, node: usize, server: usize) -> Duration {
+        let replica = server % REPLICAS as usize;
+        match self.sites.site(node) == self.sites.site(replica) {
+            true => NEAR,
+            false => FAR,
+        }
+    }
+
     /// Queries a second that are offered.
     pub fn rate(&self) -> f64 {
         Self::capacity() * f64::from(self.load_percent) / 100.0
--- a/crates/version/route/examples/compare/node.rs
+++ b/crates/version/route/examples/compare/node.rs
@@ -11,6 +11,7 @@
 use crate::model::NODES;
 use crate::model::REPLICAS;
 use crate::model::SLOTS;
+use crate::model::Sites;
 use admit::gate::Gate;
 use admit::settings::Settings as Admission;
 use base::entity::Server;
@@ -22,6 +23,7 @@
 use conf::object::Kind;
 use conf::object::Object;
 use conf::object::Spec;
+use route::place::Place;
 use route::settings::Settings;
 use route::table::Table;
 use wire::id::Incarnation;
@@ -83,11 +85,11 @@
     Arc::from(format!("desk-{server}"))
 }
 
-fn catalog() -> Catalog {
+fn catalog(case: &Case) -> Catalog {
     let server = |index: u32| object::Server {
         name: name(index),
         address: ([127, 0, 0, 1], 1000 + index as u16).into(),
-        data_centre: Arc::from("luzon"),
+        data_centre: Arc::from(case.sites.site((index % REPLICAS) as usize)),
     };
     let group = |group: u32| object::Group {
         servers: (0..REPLICAS).map(|replica| server(group * REPLICAS + replica)).collect(),
@@ -119,14 +121,16 @@
         let seed = seed * 1000 + index as u64;
         let names: Vec<Arc<str>> =
             (0..NODES).map(|node| Arc::from(format!("node-{node}"))).collect();
+        let data_centre = Arc::from(case.sites.site(index));
         let settings = Settings {
             node: Arc::clone(&names[index]),
+            place: Place { data_centre, ..Place::default() },
             seed,
-            prefer_near: false,
+            prefer_near: case.sites == Sites::Three { prefer_near: true },
             ..Settings::default()
         };
         let mut table = Table::new(settings);
-        table.update(&catalog());
+        table.update(&catalog(case));
         table.nodes(&names);
         for server in 0..GROUPS * REPLICAS {
             let holding = Holding { snapshot: snapshot(), shard: server / REPLICAS };
@@ -148,12 +152,13 @@
                 deadline_aware: false,
             },
         };
-        let part = f64::from(REPLICAS * SLOTS) / NODES as f64;
+        let mut admission = Admission::new(admit, GROUPS).with_seed(seed);
+        admission.part = table.part("desk");
         let lane = || Lane { free: CONNECTIONS, waiting: VecDeque::new() };
         Self {
             table,
-            gate: Gate::new(Admission::new(admit, GROUPS).with_part(part).with_seed(seed)),
-            hedges: Budget::new(if case.hedging { 5.0 } else { 0.0 }),
+            gate: Gate::new(admission),
+            hedges: Budget::new(5.0),
             retries: Budget::new(10.0),
             lanes: (0..GROUPS * REPLICAS).map(|_| lane()).collect(),
             timer: Time::NEVER,
--- a/crates/version/route/examples/compare/sim.rs
+++ b/crates/version/route/examples/compare/sim.rs
@@ -17,7 +17,6 @@
 use crate::model::GROUPS;
 use crate::model::LEAST_US;
 use crate::model::NODES;
-use crate::model::ONE_WAY;
 use crate::model::REOPEN;
 use crate::model::REPLICAS;
 use crate::model::SHED;
@@ -151,6 +150,12 @@
         self.events.push(Reverse((self.now + delay, self.made, event)));
     }
 
+    /// Makes an event at the other end of an attempt's connection.
+    fn travel(&mut self, attempt: usize, event: Event) {
+        let Attempt { node, server, .. } = self.attempts[attempt];
+        self.at(self.case.one_way(node, server), event);
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive => self.arrive(),
@@ -266,10 +271,16 @@
                 self.figures.needed += 1;
             }
             self.send(query, shard);
-            let delay = self.nodes[node].table.hedge_delay(self.now, "desk", 95.0);
-            if let Some(delay) = delay.filter(|_| self.case.hedging) {
-                self.at(delay, Event::Hedge(query, shard));
-            }
+            self.arm(query, shard);
+        }
+    }
+
+    /// Sets the alarm for a hedge.
+    fn arm(&mut self, query: usize, shard: u32) {
+        let node = &mut self.nodes[self.queries[query].node];
+        let delay = node.table.hedge_delay(self.now, "desk", self.case.hedge_percent);
+        if let Some(delay) = delay {
+            self.at(delay, Event::Hedge(query, shard));
         }
     }
 
@@ -320,7 +331,7 @@
         if self.counts(self.queries[self.attempts[attempt].query].arrived) {
             self.figures.sends += 1;
         }
-        self.at(ONE_WAY, Event::Reach(attempt));
+        self.travel(attempt, Event::Reach(attempt));
     }
 
     fn reach(&mut self, attempt: usize) {
@@ -330,7 +341,7 @@
         let server = self.attempts[attempt].server;
         if self.servers[server].waiting.len() >= SHED {
             self.attempts[attempt].load = self.servers[server].load();
-            self.at(ONE_WAY, Event::Return(attempt, false));
+            self.travel(attempt, Event::Return(attempt, false));
             return;
         }
         self.attempts[attempt].there = true;
@@ -359,7 +370,7 @@
         let server = self.attempts[attempt].server;
         self.leave(attempt);
         self.attempts[attempt].load = self.servers[server].load();
-        self.at(ONE_WAY, Event::Return(attempt, true));
+        self.travel(attempt, Event::Return(attempt, true));
         self.work(server);
     }
 
@@ -435,9 +446,12 @@
         if self.queries[query].ended || self.queries[query].parts[shard as usize].done {
             return;
         }
+        let last = self.queries[query].left <= self.case.hedge_last;
         let here = &mut self.nodes[node];
-        if !here.gate.overloaded(now) && here.hedges.take() {
+        if last && !here.gate.overloaded(now) && here.hedges.take() {
             self.send(query, shard);
+        } else {
+            self.arm(query, shard);
         }
     }
 
@@ -472,7 +486,7 @@
             Stage::Sent => {
                 let seen = Observation::Cancelled { waited: self.now - sent };
                 self.nodes[node].table.observe(self.now, reference, seen);
-                self.at(ONE_WAY, Event::Abort(attempt));
+                self.travel(attempt, Event::Abort(attempt));
                 self.at(REOPEN, Event::Reopen(node, server));
             }
         }
--- a/crates/version/route/src/order.rs
+++ b/crates/version/route/src/order.rs
@@ -72,6 +72,20 @@
         self.maps.get(map).map_or(0, |map| map.groups.len())
     }
 
+    /// The requests to all shards of a service that this node's part of the slots
+    /// can run at once; `None` if the service's map is not known. Servers that
+    /// leave don't count, and the group with the fewest slots decides.
+    pub fn part(&self, service: &str) -> Option<f64> {
+        let map = self.maps.get(self.services.get(service)?.maps.first()?)?;
+        let slots = |server: &Server| match self.may_send(*server) {
+            true => self.servers[*server].slots,
+            false => 0,
+        };
+        let sum = |group: &Vec<Server>| group.iter().map(slots).sum::<u32>();
+        let fewest = map.groups.iter().map(sum).min()?;
+        Some(f64::from(fewest) / self.nodes.len().max(1) as f64)
+    }
+
     /// The servers that may answer a shard of a snapshot: not leaving, holding
     /// it, and not in `exclude`. In the order of the map.
     pub fn candidates(&self, snapshot: &Snapshot, shard: Shard, exclude: &[Server]) -> Vec<Server> {
--- /dev/null
+++ b/crates/version/route/tests/load_targets.rs
@@ -0,0 +1,85 @@
+//! What admission, hedging and the choice of a replica bring under load, in the
+//! virtual time of `examples/compare`: same seeds, same figures.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use conf::object::Choice;
+
+#[path = "../examples/compare/model.rs"]
+mod model;
+#[path = "../examples/compare/node.rs"]
+mod node;
+#[path = "../examples/compare/report.rs"]
+mod report;
+#[path = "../examples/compare/sim.rs"]
+mod sim;
+
+use crate::model::Case;
+use crate::model::Fault;
+use crate::report::Figures;
+
+const SEED: u64 = 4;
+
+fn run(case: Case) -> Figures {
+    sim::run(&Case { seconds: 4, ..case }, SEED)
+}
+
+fn goodput(load_percent: u32, admission: bool) -> f64 {
+    let figures = run(Case { load_percent, admission, ..Case::default() });
+    figures.latencies.len() as f64 / figures.seconds
+}
+
+fn p99(sorted: &[Duration]) -> Duration {
+    sorted[sorted.len() * 99 / 100]
+}
+
+#[test]
+fn goodput_at_twice_the_capacity_stays_near_the_peak() {
+    let peak = [90, 100, 120, 150].map(|load| goodput(load, true)).into_iter().fold(0.0, f64::max);
+    let twice = goodput(200, true);
+    assert!(twice >= 0.9 * peak, "{twice} of {peak} queries a second");
+}
+
+#[test]
+fn urgent_queries_keep_their_tail_at_twice_the_capacity() {
+    let figures = run(Case { load_percent: 200, ..Case::default() });
+    let (urgent, all) = (p99(&figures.urgent), p99(&figures.latencies));
+    assert!(urgent * 2 < all, "{urgent:?} against {all:?}");
+    let part = figures.urgent.len() as f64 / figures.urgent_offered as f64;
+    assert!(part > 0.97, "{part} of the urgent queries were answered whole");
+}
+
+#[test]
+fn a_refusal_comes_long_before_the_deadline() {
+    let figures = run(Case { load_percent: 200, ..Case::default() });
+    assert!(figures.refused > 0);
+    assert!(figures.longest_refusal <= model::DEADLINE * 3 / 10, "{:?}", figures.longest_refusal);
+}
+
+#[test]
+fn extra_sends_stay_within_the_hedge_budget() {
+    for fault in Fault::ALL {
+        let figures = run(Case { fault, load_percent: 50, ..Case::default() });
+        let extra = figures.sends as f64 / figures.needed as f64 - 1.0;
+        // The bursts of six budgets come on top of 5%, and a few retries.
+        assert!(extra <= 0.054, "{extra} with {fault:?}");
+    }
+}
+
+#[test]
+fn hedges_cut_the_tail_that_stragglers_make() {
+    let fault = Fault::Stragglers(10);
+    let with = p99(&run(Case { fault, ..Case::default() }).latencies);
+    let without = p99(&run(Case { fault, hedge_percent: 100.0, ..Case::default() }).latencies);
+    assert!(with * 3 < without * 2, "{with:?} against {without:?}");
+}
+
+#[test]
+fn the_default_choice_beats_chance_where_a_server_is_slow() {
+    let case = |choice| Case { choice, fault: Fault::SlowServer, ..Case::default() };
+    let chosen = p99(&run(case(Choice::default())).latencies);
+    let random = p99(&run(case(Choice::Random)).latencies);
+    assert!(chosen * 3 < random * 2, "{chosen:?} against {random:?}");
+}
--- a/crates/version/route/tests/replica_order.rs
+++ b/crates/version/route/tests/replica_order.rs
@@ -294,3 +294,16 @@
     let delay = table.hedge_delay(at(31_000), "desk", 95.0).unwrap();
     assert!((9..12).contains(&delay.as_millis()), "{delay:?}");
 }
+
+#[test]
+fn the_part_of_the_slots_follows_nodes_and_leaving_servers() {
+    let mut table = table(2, plain());
+    assert_eq!(table.part("desk"), Some(6.0));
+    let nodes: Vec<Arc<str>> = (0..6).map(|node| Arc::from(format!("node-{node}"))).collect();
+    table.nodes(&nodes);
+    assert_eq!(table.part("desk"), Some(1.0));
+    let server = table.find("s1-1").unwrap();
+    table.health(at(1), server, &health("s1-1", 100, State::Draining, &[(1, 1)]));
+    assert_eq!(table.part("desk"), Some(4.0 / 6.0));
+    assert_eq!(table.part("none"), None);
+}
