--- a/crates/version/route/examples/compare/main.rs
+++ b/crates/version/route/examples/compare/main.rs
@@ -12,6 +12,7 @@
 
 use crate::model::Case;
 use crate::model::Fault;
+use crate::model::Hedge;
 use crate::model::Sites;
 use crate::report::Figures;
 use conf::object::Choice;
@@ -55,15 +56,22 @@
 
 /// When a shard is hedged.
 fn hedges(base: &Case) -> Vec<Case> {
-    let rules = [(100.0, 10), (90.0, 10), (95.0, 10), (95.0, 2), (96.0, 10), (96.0, 2), (98.0, 10)];
+    let hedge = |percent| Hedge { percent, ..Hedge::default() };
+    let rules = [
+        hedge(100.0),
+        hedge(90.0),
+        hedge(95.0),
+        Hedge { last: 2, ..hedge(95.0) },
+        Hedge { again: 4, ..hedge(95.0) },
+        Hedge { burst: 30, ..hedge(95.0) },
+        Hedge { burst: 100, ..hedge(95.0) },
+        Hedge { burst: 100, again: 4, ..hedge(95.0) },
+        hedge(96.0),
+        Hedge { burst: 100, ..hedge(96.0) },
+        hedge(98.0),
+    ];
     let case = |(fault, load_percent)| {
-        rules.map(|(hedge_percent, hedge_last)| Case {
-            fault,
-            load_percent,
-            hedge_percent,
-            hedge_last,
-            ..base.clone()
-        })
+        rules.map(|hedge| Case { fault, load_percent, hedge, ..base.clone() })
     };
     let faults = [
         (Fault::None, 70),
--- a/crates/version/route/examples/compare/model.rs
+++ b/crates/version/route/examples/compare/model.rs
@@ -3,6 +3,7 @@
 //! Invariant: the random numbers of a run come from its seed alone.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
 use conf::object::Choice;
@@ -105,14 +106,40 @@
     /// Offered load in percent of what healthy servers can do.
     pub load_percent: u32,
     pub admission: bool,
-    /// The quantile after which a shard is hedged, in percent; 100 is never.
-    pub hedge_percent: f64,
-    /// A shard is hedged only when at most this many shards are missing.
-    pub hedge_last: u32,
+    pub hedge: Hedge,
     pub sites: Sites,
     pub seconds: u64,
 }
 
+/// When a shard is asked a second time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hedge {
+    /// The quantile after which a shard is hedged, in percent; 100 is never.
+    pub percent: f64,
+    /// Only when at most this many shards are missing.
+    pub last: u32,
+    /// Hedges that an idle budget allows at once.
+    pub burst: u32,
+    /// A hedge that found no budget asks again after the delay over this.
+    pub again: u32,
+}
+
+impl Default for Hedge {
+    fn default() -> Self {
+        Self { percent: 95.0, last: GROUPS, burst: 10, again: 1 }
+    }
+}
+
+impl fmt::Display for Hedge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.percent >= 100.0 {
+            return f.pad("off");
+        }
+        let last = if self.last < GROUPS { format!(" last {}", self.last) } else { String::new() };
+        f.pad(&format!("{} b{}/{}{last}", self.percent, self.burst, self.again))
+    }
+}
+
 /// Where nodes and servers are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sites {
@@ -148,8 +175,7 @@
             fault: Fault::None,
             load_percent: 70,
             admission: true,
-            hedge_percent: 95.0,
-            hedge_last: GROUPS,
+            hedge: Hedge::default(),
             sites: Sites::One,
             seconds: 20,
         }
--- a/crates/version/route/examples/compare/node.rs
+++ b/crates/version/route/examples/compare/node.rs
@@ -32,22 +32,23 @@
 use wire::upstream::Holding;
 use wire::upstream::State;
 
-/// Extra sends that are allowed at once.
-const BURST: f64 = 10.0;
+/// Retries that an idle budget allows at once.
+const RETRIES: u32 = 10;
 
 /// A share of first sends that may be sent in addition.
 pub struct Budget {
     share: f64,
+    most: f64,
     left: f64,
 }
 
 impl Budget {
-    fn new(percent: f64) -> Self {
-        Self { share: percent / 100.0, left: BURST }
+    fn new(percent: f64, burst: u32) -> Self {
+        Self { share: percent / 100.0, most: f64::from(burst), left: f64::from(burst) }
     }
 
     pub fn first(&mut self) {
-        self.left = (self.left + self.share).min(BURST);
+        self.left = (self.left + self.share).min(self.most);
     }
 
     pub fn take(&mut self) -> bool {
@@ -158,8 +159,8 @@
         Self {
             table,
             gate: Gate::new(admission),
-            hedges: Budget::new(5.0),
-            retries: Budget::new(10.0),
+            hedges: Budget::new(5.0, case.hedge.burst),
+            retries: Budget::new(10.0, RETRIES),
             lanes: (0..GROUPS * REPLICAS).map(|_| lane()).collect(),
             timer: Time::NEVER,
         }
--- a/crates/version/route/examples/compare/report.rs
+++ b/crates/version/route/examples/compare/report.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use crate::model::Case;
-use crate::model::GROUPS;
 
 #[derive(Default)]
 pub struct Figures {
@@ -45,7 +44,7 @@
 }
 
 pub fn heading() -> String {
-    "choice      fault        sites    load admit hedge   |  p50 ms   p99 ms (range)        p99.9 ms  urgent p99 | \
+    "choice      fault        sites    load admit hedge            |  p50 ms   p99 ms (range)        p99.9 ms  urgent p99 | \
      extra sends  refused  broken  goodput/s (of offered)  longest wait of a refusal"
         .to_owned()
 }
@@ -61,20 +60,15 @@
     let goodput = spread(runs, |run| run.latencies.len() as f64 / run.seconds).median;
     let offered = spread(runs, |run| run.offered as f64 / run.seconds).median;
     let refusal = spread(runs, |run| run.longest_refusal.as_secs_f64() * 1000.0).high;
-    let hedge = match (case.hedge_percent < 100.0, case.hedge_last) {
-        (false, _) => "off".to_owned(),
-        (true, GROUPS) => format!("{}", case.hedge_percent),
-        (true, last) => format!("{}/{last}", case.hedge_percent),
-    };
     format!(
-        "{:<11} {:<12} {:<8} {:>3}% {:<5} {:<7} | {:>7.1}  {:>7.1} ({:.1} to {:.1})  {:>8.1}  {:>8.1} | \
+        "{:<11} {:<12} {:<8} {:>3}% {:<5} {:<16} | {:>7.1}  {:>7.1} ({:.1} to {:.1})  {:>8.1}  {:>8.1} | \
          {:>7.2}%  {:>6.2}%  {:>6.3}%  {:>6.0} ({:.0}%)  {:.0} ms",
         format!("{:?}", case.choice),
         case.fault.name(),
         case.sites.name(),
         case.load_percent,
         if case.admission { "on" } else { "off" },
-        hedge,
+        case.hedge,
         at(50.0).median,
         p99.median,
         p99.low,
--- a/crates/version/route/examples/compare/sim.rs
+++ b/crates/version/route/examples/compare/sim.rs
@@ -271,16 +271,16 @@
                 self.figures.needed += 1;
             }
             self.send(query, shard);
-            self.arm(query, shard);
+            self.arm(query, shard, 1);
         }
     }
 
-    /// Sets the alarm for a hedge.
-    fn arm(&mut self, query: usize, shard: u32) {
+    /// Sets the alarm for a hedge, after the delay over `part`.
+    fn arm(&mut self, query: usize, shard: u32, part: u32) {
         let node = &mut self.nodes[self.queries[query].node];
-        let delay = node.table.hedge_delay(self.now, "desk", self.case.hedge_percent);
+        let delay = node.table.hedge_delay(self.now, "desk", self.case.hedge.percent);
         if let Some(delay) = delay {
-            self.at(delay, Event::Hedge(query, shard));
+            self.at(delay / part, Event::Hedge(query, shard));
         }
     }
 
@@ -446,12 +446,12 @@
         if self.queries[query].ended || self.queries[query].parts[shard as usize].done {
             return;
         }
-        let last = self.queries[query].left <= self.case.hedge_last;
+        let last = self.queries[query].left <= self.case.hedge.last;
         let here = &mut self.nodes[node];
         if last && !here.gate.overloaded(now) && here.hedges.take() {
             self.send(query, shard);
         } else {
-            self.arm(query, shard);
+            self.arm(query, shard, self.case.hedge.again);
         }
     }
 
--- a/crates/version/route/tests/load_targets.rs
+++ b/crates/version/route/tests/load_targets.rs
@@ -18,6 +18,7 @@
 
 use crate::model::Case;
 use crate::model::Fault;
+use crate::model::Hedge;
 use crate::report::Figures;
 
 const SEED: u64 = 4;
@@ -72,7 +73,8 @@
 fn hedges_cut_the_tail_that_stragglers_make() {
     let fault = Fault::Stragglers(10);
     let with = p99(&run(Case { fault, ..Case::default() }).latencies);
-    let without = p99(&run(Case { fault, hedge_percent: 100.0, ..Case::default() }).latencies);
+    let never = Hedge { percent: 100.0, ..Hedge::default() };
+    let without = p99(&run(Case { fault, hedge: never, ..Case::default() }).latencies);
     assert!(with * 3 < without * 2, "{with:?} against {without:?}");
 }
 
