--- a/crates/request/admit/src/gate.rs
+++ b/crates/request/admit/src/gate.rs
@@ -32,7 +32,7 @@
 use wire::caller::Cause;
 
 /// How long pressure counts as overload after its last sign.
-const PRESSURE: Duration = Duration::from_millis(500);
+const PRESSURE: Duration = Duration::from_millis(200);
 /// The shortest time to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(20);
 /// The longest time to come back.
@@ -62,7 +62,7 @@
     /// An idle gate.
     pub fn new(settings: Settings) -> Self {
         Self {
-            limit: Limit::new(settings.admit.most_running, settings.admit.learn),
+            limit: Limit::new(settings.admit.most_running, settings.admit.learn, settings.part),
             expect: Expect::new(settings.first_guess),
             queue: Queue::new(settings.full_cost),
             running: BTreeMap::new(),
@@ -77,11 +77,19 @@
 
     /// Takes in a changed policy or shard map; what runs and waits goes on.
     pub fn update(&mut self, admit: &Admit, shards: u32) {
-        self.limit.set(admit.most_running, admit.learn);
+        self.limit.set(admit.most_running, admit.learn, self.settings.part);
         self.settings.admit = admit.clone();
         self.settings.full_cost = shards.max(1);
     }
 
+    /// Takes in the requests to all shards that this node's part of the
+    /// upstreams' slots can run at once.
+    pub fn set_part(&mut self, part: Option<f64>) {
+        let admit = &self.settings.admit;
+        self.limit.set(admit.most_running, admit.learn, part);
+        self.settings.part = part;
+    }
+
     /// Decides on a request that arrives. When the queue is full, another one
     /// may have to make room; `actions` then gets its refusal.
     pub fn offer(&mut self, now: Time, ask: Ask, actions: &mut Vec<Action>) -> Verdict {
@@ -94,12 +102,11 @@
             self.run(now, id, ask.cost);
             return Verdict::Admitted(id);
         }
-        self.press(now);
         let until = self.until(now, &ask);
         if self.settings.admit.deadline_aware && now + wait >= until {
             return Verdict::Refused(self.refuse(now, Cause::Overload));
         }
-        self.queue.push(Waiting { id, ask, until });
+        self.queue.push(Waiting { id, ask, since: now, until });
         if self.queue.len() <= self.settings.admit.most_waiting as usize {
             return Verdict::Queued(id);
         }
@@ -160,9 +167,10 @@
         self.queue.next_expiry()
     }
 
-    /// Whether hedges and retries must stop.
+    /// Whether hedges and retries must stop: a request was refused, here or by an
+    /// upstream, or had to wait here for longer than requests run.
     pub fn overloaded(&self, now: Time) -> bool {
-        !self.queue.is_empty() || self.pressed.is_some_and(|at| now.since(at) < PRESSURE)
+        self.pressed.is_some_and(|at| now.since(at) < PRESSURE)
     }
 
     /// Requests that run.
@@ -194,6 +202,9 @@
                 actions.push(Action::Refuse(next.id, self.refuse(now, Cause::Deadline)));
                 continue;
             }
+            if now - next.since > self.expect.mean() {
+                self.press(now);
+            }
             self.run(now, next.id, next.ask.cost);
             actions.push(Action::Run(next.id));
         }
