--- /dev/null
+++ b/crates/process/peer/examples/slopes.rs
@@ -0,0 +1,255 @@
+//! Measures what acting together costs, against the number of nodes and objects.
+//!
+//! Runs N meshes in one process on loopback, without a platform: one node is
+//! given the objects, the others take them from their peers as in an outage.
+//! Prints one row: times in milliseconds, messages and bytes a node and second,
+//! processor time a node in percent of a core, memory a node in KB.
+//!
+//! `cargo run --release -p peer --example slopes -- NODES OBJECTS`
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use conf::catalog::Catalog;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Policy;
+use conf::object::Spec;
+use peer::link::Acted;
+use peer::link::Host;
+use peer::mesh::Mesh;
+use peer::mesh::Settings;
+use peer::meter::Counters;
+use peer::record::Addresses;
+use peer::spread::Mark;
+use wire::caller::Cause;
+use wire::caller::Outcome;
+use wire::caller::Query;
+use wire::caller::Refusal;
+use wire::id::Incarnation;
+
+/// Changes whose spread is timed.
+const ROUNDS: u64 = 30;
+/// The time between two changes, about that of 67,000 changes a day.
+const CHANGE_EVERY: Duration = Duration::from_millis(1290);
+/// How long the quiet deployment is measured.
+const QUIET: Duration = Duration::from_secs(10);
+/// The time between two looks at whether all have something.
+const LOOK: Duration = Duration::from_millis(1);
+/// How long anything is waited for.
+const PATIENCE: Duration = Duration::from_secs(120);
+/// Data centres.
+const CENTRES: usize = 3;
+/// Linux counts a process's time in hundredths of a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+#[derive(Default)]
+struct Node {
+    catalog: Mutex<Arc<Catalog>>,
+}
+
+impl Host for Node {
+    fn catalog(&self) -> Arc<Catalog> {
+        self.catalog.lock().clone()
+    }
+
+    fn offer(&self, objects: Vec<Object>) {
+        let mut catalog = self.catalog.lock();
+        let (next, _) = catalog.with_objects(&objects);
+        *catalog = Arc::new(next);
+    }
+
+    fn marks(&self, _: Vec<Mark>) {}
+
+    fn act(&self, _: Query) -> BoxFuture<'static, Acted> {
+        let refusal = Refusal {
+            request: Arc::from(""),
+            outcome: Outcome::NotRun,
+            cause: Cause::NoService,
+            message: String::new(),
+            retry_after_ms: None,
+        };
+        async move { Acted::Refusal(refusal) }.boxed()
+    }
+
+    fn take_over(&self, _: Vec<u8>) -> bool {
+        false
+    }
+
+    fn tallies(&self) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+struct Fleet {
+    nodes: Vec<Arc<Node>>,
+    meshes: Vec<Arc<Mesh>>,
+}
+
+impl Fleet {
+    async fn start(count: usize, stop: &CancellationToken) -> std::io::Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let addresses = Addresses { caller: any, peer: any, operator: any };
+        let mut fleet = Self { nodes: Vec::new(), meshes: Vec::new() };
+        for number in 0..count {
+            let name = format!("node-{number}").into();
+            let incarnation = Incarnation(number as u64 + 1);
+            let centre = number % CENTRES;
+            let (data_centre, region) = (format!("dc-{centre}"), format!("region-{centre}"));
+            let seeds = fleet.meshes.iter().take(3).map(|mesh| mesh.peer_address()).collect();
+            let settings =
+                Settings::new(name, incarnation, addresses, data_centre.into(), region.into());
+            let node = Arc::new(Node::default());
+            let mesh = Mesh::start(settings.with_seeds(seeds), node.clone(), stop.clone()).await?;
+            fleet.nodes.push(node);
+            fleet.meshes.push(mesh);
+        }
+        Ok(fleet)
+    }
+
+    fn know_all(&self) -> bool {
+        let count = self.meshes.len();
+        let up = |mesh: &Arc<Mesh>| mesh.members().iter().filter(|r| r.is_up()).count();
+        self.meshes.iter().all(|mesh| up(mesh) == count)
+    }
+
+    fn hold(&self, revision: u64) -> bool {
+        self.nodes.iter().all(|node| node.catalog().revision() >= revision)
+    }
+
+    fn counters(&self) -> Counters {
+        let mut sum = Counters::default();
+        for counters in self.meshes.iter().map(|mesh| mesh.counters()) {
+            sum.calls += counters.calls;
+            sum.failed += counters.failed;
+            sum.sent += counters.sent;
+            sum.connections += counters.connections;
+        }
+        sum
+    }
+}
+
+/// What a span of time cost one node.
+struct Cost {
+    calls: f64,
+    sent: f64,
+    percent: f64,
+}
+
+struct Gauge {
+    begun: Instant,
+    counters: Counters,
+    seconds: f64,
+}
+
+impl Gauge {
+    fn new(fleet: &Fleet) -> Self {
+        Self { begun: Instant::now(), counters: fleet.counters(), seconds: processor_seconds() }
+    }
+
+    fn read(&self, fleet: &Fleet) -> Cost {
+        let now = fleet.counters();
+        let span = self.begun.elapsed().as_secs_f64() * fleet.meshes.len() as f64;
+        Cost {
+            calls: (now.calls - self.counters.calls) as f64 / span,
+            sent: (now.sent - self.counters.sent) as f64 / span,
+            percent: (processor_seconds() - self.seconds) * 100.0 / span,
+        }
+    }
+}
+
+fn processor_seconds() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |place: usize| fields.get(place).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) / TICKS_PER_SECOND
+}
+
+fn memory_kb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.and_then(|number| number.parse().ok()).unwrap_or(0.0)
+}
+
+async fn until(what: &str, done: impl Fn() -> bool) -> Duration {
+    let begun = Instant::now();
+    while !done() {
+        if begun.elapsed() > PATIENCE {
+            println!("gave up: {what}");
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    begun.elapsed()
+}
+
+fn object(number: u64, revision: u64) -> Object {
+    let key = Key { kind: Kind::Policy, name: format!("policy-{number}").into() };
+    Object { key, revision, spec: Some(Spec::Policy(Policy::default())) }
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let arguments: Vec<usize> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    let count = arguments.first().copied().unwrap_or(6);
+    let objects = arguments.get(1).copied().unwrap_or(100) as u64;
+    let stop = CancellationToken::new();
+    let empty = memory_kb();
+    let fleet = Fleet::start(count, &stop).await?;
+    let joined = until("join", || fleet.know_all()).await;
+
+    let bulk: Vec<Object> = (1..=objects).map(|number| object(number, number)).collect();
+    fleet.meshes[0].push(bulk);
+    fleet.meshes[0].set_fresh(true);
+    let filled = until("fill", || fleet.hold(objects)).await;
+    let fresh = || fleet.meshes.iter().all(|mesh| mesh.members()[0].fresh);
+    until("fresh", fresh).await;
+    tokio::time::sleep(QUIET / 2).await;
+
+    let gauge = Gauge::new(&fleet);
+    tokio::time::sleep(QUIET).await;
+    let quiet = gauge.read(&fleet);
+    let memory = (memory_kb() - empty) / count as f64;
+
+    let gauge = Gauge::new(&fleet);
+    let mut times = Vec::new();
+    for round in 1..=ROUNDS {
+        let revision = objects + round;
+        let begun = Instant::now();
+        let source = &fleet.meshes[round as usize % count];
+        source.push(vec![object(round % objects + 1, revision)]);
+        times.push(until("spread", || fleet.hold(revision)).await);
+        tokio::time::sleep(CHANGE_EVERY.saturating_sub(begun.elapsed())).await;
+    }
+    let busy = gauge.read(&fleet);
+    times.sort_unstable();
+
+    println!("nodes objects join_ms fill_ms spread_median_ms spread_worst_ms");
+    println!(
+        "{count} {objects} {} {} {:.1} {:.1}",
+        joined.as_millis(),
+        filled.as_millis(),
+        times[times.len() / 2].as_secs_f64() * 1000.0,
+        times[times.len() - 1].as_secs_f64() * 1000.0,
+    );
+    println!("state calls_s sent_bytes_s cpu_percent");
+    for (state, cost) in [("quiet", &quiet), ("changes", &busy)] {
+        println!("{state} {:.2} {:.0} {:.3}", cost.calls, cost.sent, cost.percent);
+    }
+    let counters = fleet.counters();
+    println!(
+        "memory_kb {memory:.0} failed_calls {} connections {}",
+        counters.failed, counters.connections
+    );
+    stop.cancel();
+    Ok(())
+}
--- a/crates/version/conf/src/catalog.rs
+++ b/crates/version/conf/src/catalog.rs
@@ -22,8 +22,10 @@
 
 /// All objects at one point; cheap to share, never changed.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Vec<Object>", into = "Vec<Object>")]
 pub struct Catalog {
     objects: BTreeMap<Key, Arc<Object>>,
+    highest: u64,
 }
 
 impl Catalog {
@@ -39,6 +41,7 @@
         for object in objects {
             if next.revision_of(&object.key) < object.revision {
                 next.objects.insert(object.key.clone(), Arc::new(object.clone()));
+                next.highest = next.highest.max(object.revision);
                 changed = true;
             }
         }
@@ -47,7 +50,7 @@
 
     /// The highest revision applied; zero if none was.
     pub fn revision(&self) -> u64 {
-        self.objects.values().map(|object| object.revision).max().unwrap_or(0)
+        self.highest
     }
 
     /// The revision of one object or its tombstone; zero if it never was.
@@ -109,6 +112,18 @@
     }
 }
 
+impl From<Vec<Object>> for Catalog {
+    fn from(objects: Vec<Object>) -> Self {
+        Self::new().with_objects(&objects).0
+    }
+}
+
+impl From<Catalog> for Vec<Object> {
+    fn from(catalog: Catalog) -> Self {
+        catalog.iter().map(|object| Object::clone(object)).collect()
+    }
+}
+
 impl fmt::Display for Catalog {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for object in self.objects.values() {
