--- /dev/null
+++ b/crates/process/store/tests/write_outcomes.rs
@@ -0,0 +1,257 @@
+//! What is told about a write stays true, whatever the platform does.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use base::time::Time;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Policy;
+use conf::object::Spec;
+use store::api::Error;
+use store::api::Expected;
+use store::api::Stored;
+use store::write::Action;
+use store::write::Outcome;
+use store::write::Request;
+use store::write::Write;
+
+const SEEDS: u64 = 60;
+const DEADLINE: Time = Time::from_millis(3000);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    Down,
+    Busy,
+    LostBefore,
+    LostAfter,
+    LateEffect,
+    StaleRead,
+}
+
+const FAULTS: [Fault; 7] = [
+    Fault::None,
+    Fault::Down,
+    Fault::Busy,
+    Fault::LostBefore,
+    Fault::LostAfter,
+    Fault::LateEffect,
+    Fault::StaleRead,
+];
+
+type Put = (Expected, Option<Spec>, Arc<str>);
+
+/// One object of a platform; every state that it ever had is kept.
+#[derive(Default)]
+struct Platform {
+    states: Vec<Stored>,
+    delayed: Vec<Put>,
+    revision: u64,
+}
+
+fn key() -> Key {
+    Key { kind: Kind::Policy, name: "p".into() }
+}
+
+impl Platform {
+    fn put(&mut self, (expected, spec, operation): Put) -> Result<Stored, Error> {
+        let present = self.states.last();
+        let holds = match expected {
+            Expected::Absent => present.is_none(),
+            Expected::Revision(revision) => present.is_some_and(|s| s.object.revision == revision),
+        };
+        if !holds {
+            return Err(Error::Conflict(present.cloned().map(Box::new)));
+        }
+        self.revision += 1;
+        let object = Object { key: key(), revision: self.revision, spec };
+        let stored = Stored { object, operation, after: Some(expected.revision()) };
+        self.states.push(stored.clone());
+        Ok(stored)
+    }
+
+    fn put_with(&mut self, put: Put, fault: Fault) -> Result<Stored, Error> {
+        let lost = || Err(Error::Lost("test".to_owned()));
+        match fault {
+            Fault::None | Fault::StaleRead => self.put(put),
+            Fault::Down => Err(Error::NotSent("test".to_owned())),
+            Fault::Busy => Err(Error::Busy),
+            Fault::LostBefore => lost(),
+            Fault::LostAfter => self.put(put).and_then(|_| lost()),
+            Fault::LateEffect => {
+                self.delayed.push(put);
+                lost()
+            }
+        }
+    }
+
+    fn get_with(&self, fault: Fault, random: &mut ChaCha8Rng) -> Result<Option<Stored>, Error> {
+        match fault {
+            Fault::Down => Err(Error::NotSent("test".to_owned())),
+            Fault::Busy => Err(Error::Busy),
+            Fault::LostBefore | Fault::LostAfter => Err(Error::Lost("test".to_owned())),
+            Fault::StaleRead => Ok(self.states.choose(random).cloned()),
+            Fault::None | Fault::LateEffect => Ok(self.states.last().cloned()),
+        }
+    }
+
+    fn deliver(&mut self, random: &mut ChaCha8Rng) {
+        if !self.delayed.is_empty() {
+            let place = random.random_range(0..self.delayed.len());
+            let put = self.delayed.swap_remove(place);
+            let _refused_or_not = self.put(put);
+        }
+    }
+
+    fn wrote(&self, operation: &str) -> Vec<u64> {
+        let ours = self.states.iter().filter(|state| &*state.operation == operation);
+        ours.map(|state| state.object.revision).collect()
+    }
+}
+
+struct Operator {
+    request: Request,
+    write: Write,
+    action: Action,
+    exposed: bool,
+}
+
+fn operator(name: &str, expected: Expected, spec: Option<Spec>, seed: u64) -> Operator {
+    let request = Request { key: key(), expected, spec, operation: name.into() };
+    let write = Write::new(request.clone(), DEADLINE, seed);
+    Operator { action: write.start(), request, write, exposed: false }
+}
+
+impl Operator {
+    fn step(&mut self, platform: &mut Platform, fault: Fault, now: Time, random: &mut ChaCha8Rng) {
+        self.action = match self.action.clone() {
+            Action::Put(expected) => {
+                let put = (expected, self.request.spec.clone(), self.request.operation.clone());
+                let answer = platform.put_with(put, fault);
+                self.exposed |= matches!(answer, Err(Error::Lost(_)));
+                self.write.put_answered(answer, now)
+            }
+            Action::Get => self.write.get_answered(platform.get_with(fault, random), now),
+            Action::Wait(until) if now >= until => self.write.wake(now),
+            waiting => waiting,
+        };
+    }
+}
+
+/// Two operators race from the same state; a third writes now and then.
+fn race(faults: &[Fault], create: bool, seed: u64) -> (Platform, Vec<Operator>) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut platform = Platform::default();
+    let spec = || Some(Spec::Policy(Policy::default()));
+    let mut expected = Expected::Absent;
+    if !create {
+        let first = platform.put((expected, spec(), "first".into()));
+        expected = Expected::Revision(first.expect("it is absent").object.revision);
+    }
+    let deleting = if create { spec() } else { None };
+    let mut operators =
+        vec![operator("a", expected, spec(), seed), operator("b", expected, deleting, seed + 1)];
+    let mut now = Time::ZERO;
+    while operators.iter().any(|operator| !matches!(operator.action, Action::Done(_))) {
+        now = now + Duration::from_millis(random.random_range(1..60));
+        let fault = *faults.choose(&mut random).expect("not empty");
+        let chosen = random.random_range(0..operators.len());
+        operators[chosen].step(&mut platform, fault, now, &mut random);
+        if random.random_bool(0.15) {
+            platform.deliver(&mut random);
+        }
+        if random.random_bool(0.1) && platform.revision > 0 {
+            let expected = Expected::Revision(platform.revision);
+            let written = if random.random_bool(0.5) { spec() } else { None };
+            let _always_taken = platform.put((expected, written, "other".into()));
+        }
+    }
+    while !platform.delayed.is_empty() {
+        platform.deliver(&mut random);
+    }
+    (platform, operators)
+}
+
+fn check(platform: &Platform, operator: &Operator, what: &str) {
+    let Action::Done(outcome) = &operator.action else { panic!("{what}: not done") };
+    let wrote = platform.wrote(&operator.request.operation);
+    assert!(wrote.len() <= 1, "{what}: took effect at {wrote:?}");
+    match outcome {
+        Outcome::Accepted(revision) => assert_eq!(wrote, [*revision], "{what}"),
+        Outcome::Conflict(_) | Outcome::NotWritten(_) => {
+            assert!(wrote.is_empty(), "{what}: told {outcome}, took effect at {wrote:?}");
+        }
+        Outcome::Unknown(_) => assert!(operator.exposed, "{what}: unknown without a lost answer"),
+    }
+}
+
+#[test]
+fn told_outcomes_stay_true_in_pairs_of_faults() {
+    for first in FAULTS {
+        for second in FAULTS {
+            for seed in 0..SEEDS {
+                let faults = [Fault::None, first, second];
+                let (platform, operators) = race(&faults, seed % 2 == 0, seed);
+                for operator in &operators {
+                    let name = &operator.request.operation;
+                    check(&platform, operator, &format!("{first:?}+{second:?} seed {seed} {name}"));
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn without_faults_exactly_one_racer_wins() {
+    for seed in 0..SEEDS {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut platform = Platform::default();
+        let spec = Some(Spec::Policy(Policy::default()));
+        let mut racers = [
+            operator("a", Expected::Absent, spec.clone(), seed),
+            operator("b", Expected::Absent, spec.clone(), seed),
+        ];
+        let first = random.random_range(0..2);
+        for chosen in [first, 1 - first] {
+            racers[chosen].step(&mut platform, Fault::None, Time::ZERO, &mut random);
+        }
+        assert_eq!(racers[first].action, Action::Done(Outcome::Accepted(1)));
+        let Action::Done(Outcome::Conflict(Some(winner))) = &racers[1 - first].action else {
+            panic!("seed {seed}: {:?}", racers[1 - first].action)
+        };
+        assert_eq!(winner.operation, racers[first].request.operation);
+    }
+}
+
+#[test]
+fn lost_answer_is_read_back() {
+    let mut random = ChaCha8Rng::seed_from_u64(0);
+    let mut platform = Platform::default();
+    let mut racer = operator("a", Expected::Absent, Some(Spec::Policy(Policy::default())), 0);
+    racer.step(&mut platform, Fault::LostAfter, Time::ZERO, &mut random);
+    for ms in 1..200 {
+        racer.step(&mut platform, Fault::None, Time::from_millis(ms), &mut random);
+    }
+    assert_eq!(racer.action, Action::Done(Outcome::Accepted(1)));
+}
+
+#[test]
+fn creation_replaces_a_tombstone() {
+    let mut random = ChaCha8Rng::seed_from_u64(0);
+    let mut platform = Platform::default();
+    let spec = Some(Spec::Policy(Policy::default()));
+    platform.put((Expected::Absent, spec.clone(), "old".into())).expect("absent");
+    platform.put((Expected::Revision(1), None, "gone".into())).expect("present");
+    let mut racer = operator("a", Expected::Absent, spec, 0);
+    for ms in 0..200 {
+        racer.step(&mut platform, Fault::None, Time::from_millis(ms), &mut random);
+    }
+    assert_eq!(racer.action, Action::Done(Outcome::Accepted(3)));
+}
