--- a/crates/process/peer/src/fresh.rs
+++ b/crates/process/peer/src/fresh.rs
@@ -68,12 +68,15 @@
         }
     }
 
-    /// The peers that are still to be compared with.
+    /// The peers that are to be compared with next: first those that were not yet,
+    /// so that one that is stale or silent doesn't keep the others from their turn.
     pub fn due(&self) -> Vec<Incarnation> {
-        let due = self.peers.iter().filter(|(_, compared)| {
-            matches!(compared, Compared::No | Compared::Failed | Compared::WithStale)
-        });
-        due.map(|(peer, _)| *peer).collect()
+        let with = |wanted: &[Compared]| -> Vec<Incarnation> {
+            let due = self.peers.iter().filter(|(_, compared)| wanted.contains(compared));
+            due.map(|(peer, _)| *peer).collect()
+        };
+        let first = with(&[Compared::No]);
+        if first.is_empty() { with(&[Compared::Failed, Compared::WithStale]) } else { first }
     }
 
     /// All objects were compared with `peer`, and what it held higher was taken.
--- /dev/null
+++ b/crates/process/peer/tests/fresh_start.rs
@@ -0,0 +1,72 @@
+//! A node is named only once it holds what is in force.
+
+use std::time::Duration;
+
+use base::time::Time;
+use peer::fresh::Fresh;
+use peer::fresh::Settings;
+use wire::id::Incarnation;
+
+fn nodes(count: u64) -> Vec<Incarnation> {
+    (1..=count).map(Incarnation).collect()
+}
+
+fn outage() -> Time {
+    Time::ZERO + Settings::default().outage
+}
+
+#[test]
+fn platform_is_enough() {
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    fresh.peers(&nodes(2));
+    assert!(!fresh.is_fresh(Time::ZERO));
+    fresh.platform_synced();
+    assert!(fresh.is_fresh(Time::ZERO));
+}
+
+#[test]
+fn stale_peer_that_answers_first_does_not_win() {
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    fresh.peers(&nodes(3));
+    fresh.compared(Incarnation(1), true);
+    fresh.compared(Incarnation(2), false);
+    assert!(!fresh.is_fresh(outage()), "peer 3 has not been asked");
+    fresh.compared(Incarnation(3), true);
+    assert!(!fresh.is_fresh(Time::ZERO), "the platform may yet answer");
+    assert!(fresh.is_fresh(outage()));
+}
+
+#[test]
+fn peers_that_are_all_stale_are_not_enough() {
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    fresh.peers(&nodes(2));
+    fresh.compared(Incarnation(1), false);
+    fresh.compared(Incarnation(2), false);
+    assert!(!fresh.is_fresh(outage() + Duration::from_secs(3600)));
+    assert_eq!(fresh.due(), nodes(2), "they may have become fresh since");
+}
+
+#[test]
+fn silent_peer_is_waited_for_and_then_left() {
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    fresh.peers(&nodes(2));
+    fresh.compared(Incarnation(1), true);
+    fresh.failed(Incarnation(2));
+    assert!(!fresh.is_fresh(outage()));
+    assert!(fresh.is_fresh(outage() + Settings::default().patience));
+}
+
+#[test]
+fn every_peer_gets_its_turn() {
+    const AT_ONCE: usize = 8;
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    let all = nodes(96);
+    fresh.peers(&all);
+    for _ in 0..all.len().div_ceil(AT_ONCE) {
+        for peer in fresh.due().into_iter().take(AT_ONCE) {
+            // Only the last one to be asked is fresh.
+            fresh.compared(peer, peer == Incarnation(96));
+        }
+    }
+    assert!(fresh.is_fresh(outage()));
+}
