--- a/crates/process/peer/src/mesh.rs
+++ b/crates/process/peer/src/mesh.rs
@@ -201,6 +201,8 @@
     /// Takes the answer of a probe of `expected`, or of whoever is there.
     pub(crate) fn take_ack(&self, expected: Option<Incarnation>, ack: Ack) {
         let now = self.now();
+        let keep = Duration::from_millis(u64::from(ack.longest_keep_ms));
+        self.stop.lock().learn_keep(keep);
         let mut table = self.table.lock();
         let expected = expected.unwrap_or(ack.record.incarnation);
         log_changes(&table.acked(expected, ack.record, now));
--- a/crates/process/peer/src/stop.rs
+++ b/crates/process/peer/src/stop.rs
@@ -183,6 +183,12 @@
         self.phase <= Phase::Holding && self.asked.is_none()
     }
 
+    /// A peer gives lookups this lifetime. Learned from every answer to a probe,
+    /// since a peer may be out of reach when this node stops.
+    pub fn learn_keep(&mut self, keep: Duration) {
+        self.longest = self.longest.max(keep);
+    }
+
     /// `peer` knows that this node's leave is `leave`, and never gave a lookup a
     /// longer lifetime than `longest`.
     pub fn told(&mut self, peer: Incarnation, leave: Leave, longest: Duration) {
