peer: search over the spread of one object on three nodes, and bounds of messages

Every order in which three states of an object (the last deletes it) reach three nodes, late or never, between any exchanges: nothing goes back, and each exchange makes two nodes equal.

--- /dev/null
+++ b/crates/process/peer/tests/spread_model.rs
@@ -0,0 +1,186 @@
+//! What is spread reaches all and never goes back, in every order of exchanges.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use base::time::Time;
+use conf::catalog::Catalog;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Policy;
+use conf::object::Spec;
+use peer::spread;
+use peer::spread::MARK_KEEP;
+use peer::spread::Mark;
+use peer::spread::State;
+use wire::id::Incarnation;
+
+const NODES: usize = 3;
+
+/// The history of one object: written, changed, deleted.
+fn object(revision: u64) -> Object {
+    let key = Key { kind: Kind::Policy, name: "p".into() };
+    let spec = Spec::Policy(Policy { slice_percent: revision as u32, ..Policy::default() });
+    Object { key, revision, spec: (revision < 3).then_some(spec) }
+}
+
+fn other(number: u64, revision: u64) -> Object {
+    let key = Key { kind: Kind::Map, name: format!("m{number}").into() };
+    Object { key, revision, spec: None }
+}
+
+#[derive(Clone, Default)]
+struct Node {
+    state: State,
+    catalog: Catalog,
+}
+
+impl Node {
+    fn take(&mut self, objects: Vec<Object>) {
+        let newer = self.state.admit(objects);
+        let (next, changed) = self.catalog.with_objects(&newer);
+        assert_eq!(changed, !newer.is_empty(), "index and catalog agree on what is newer");
+        self.catalog = next;
+    }
+
+    fn give(&self, keys: &[Key]) -> Vec<Object> {
+        keys.iter().filter_map(|key| self.catalog.get(key)).map(|o| Object::clone(o)).collect()
+    }
+}
+
+/// One digest between two nodes, as the loops do it.
+fn compare(nodes: &mut [Node], asker: usize, answerer: usize) {
+    if nodes[asker].state.root().objects == nodes[answerer].state.root().objects {
+        return;
+    }
+    let differing = nodes[asker].state.differing(nodes[answerer].state.buckets());
+    let (versions, buckets) = nodes[asker].state.versions(&differing);
+    let difference = nodes[answerer].state.compare(&versions, &buckets);
+    let taken = nodes[answerer].give(&difference.newer_here);
+    let wanted = nodes[asker].state.keys(&difference.newer_there);
+    let given = nodes[asker].give(&wanted);
+    nodes[asker].take(taken);
+    nodes[answerer].take(given);
+}
+
+/// What each node holds and which copies are still on their way to it.
+type Place = (Vec<u64>, Vec<(usize, u64)>);
+
+fn place(nodes: &[Node], flying: &[(usize, u64)]) -> Place {
+    let held = nodes.iter().map(|node| node.catalog.revision()).collect();
+    let mut flying = flying.to_vec();
+    flying.sort_unstable();
+    (held, flying)
+}
+
+/// The platform's three states of one object reach the nodes in any order, late,
+/// twice or not at all, between any exchanges.
+#[test]
+fn no_order_brings_back_what_was_deleted() {
+    let all: Vec<(usize, u64)> =
+        (0..NODES).flat_map(|node| (1..=3).map(move |revision| (node, revision))).collect();
+    let start = vec![Node::default(); NODES];
+    let mut seen: HashSet<Place> = HashSet::from([place(&start, &all)]);
+    let mut open = VecDeque::from([(start, all)]);
+    while let Some((nodes, flying)) = open.pop_front() {
+        let mut next: Vec<(Vec<Node>, Vec<(usize, u64)>)> = Vec::new();
+        for at in 0..flying.len() {
+            let (node, revision) = flying[at];
+            let mut after = nodes.clone();
+            after[node].take(vec![object(revision)]);
+            let mut rest = flying.clone();
+            rest.swap_remove(at);
+            next.push((nodes.clone(), rest.clone()));
+            next.push((after, rest));
+        }
+        for (asker, answerer) in [(0, 1), (1, 0), (1, 2), (2, 1), (0, 2), (2, 0)] {
+            let mut after = nodes.clone();
+            compare(&mut after, asker, answerer);
+            let (ours, theirs) = (&after[asker].catalog, &after[answerer].catalog);
+            assert_eq!(ours, theirs, "one exchange makes two nodes equal");
+            next.push((after, flying.clone()));
+        }
+        for (after, flying) in next {
+            for (before, after) in nodes.iter().zip(&after) {
+                assert!(before.catalog.revision() <= after.catalog.revision(), "went back");
+            }
+            if seen.insert(place(&after, &flying)) {
+                open.push_back((after, flying));
+            }
+        }
+    }
+    assert!(seen.len() > 10_000, "{} places", seen.len());
+}
+
+#[test]
+fn random_writes_end_equal_and_highest() {
+    for seed in 0..100 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut nodes = vec![Node::default(); NODES];
+        let mut highest: BTreeMap<u64, u64> = BTreeMap::new();
+        for revision in 1..=random.random_range(1..120) {
+            let number = random.random_range(0..40);
+            highest.insert(number, revision);
+            let node = random.random_range(0..NODES);
+            nodes[node].take(vec![other(number, revision)]);
+            let stale = other(number, random.random_range(1..=revision));
+            nodes[random.random_range(0..NODES)].take(vec![stale]);
+            if random.random_bool(0.2) {
+                compare(&mut nodes, random.random_range(0..NODES), node);
+            }
+        }
+        for (asker, answerer) in [(0, 1), (1, 2), (0, 1)] {
+            compare(&mut nodes, asker, answerer);
+        }
+        for node in &nodes {
+            assert_eq!(node.state.root(), nodes[0].state.root(), "seed {seed}");
+            for (number, revision) in &highest {
+                let key = other(*number, 0).key;
+                assert_eq!(node.catalog.revision_of(&key), *revision, "seed {seed}");
+            }
+        }
+    }
+}
+
+#[test]
+fn leaving_marks_stay_and_keep_their_age() {
+    let mark = |age_ms| Mark { server: "s".into(), incarnation: Incarnation(1), age_ms };
+    let mut state = State::new();
+    let now = Time::from_millis(10_000);
+    assert_eq!(state.admit_marks(vec![mark(2000), mark(2500)], now).len(), 1);
+    assert!(state.is_leaving("s", Incarnation(1)));
+    assert!(!state.is_leaving("s", Incarnation(2)), "a new incarnation isn't leaving");
+    assert_eq!(state.marks(now + Duration::from_millis(500)), [mark(3000)]);
+    state.prune(now + MARK_KEEP);
+    assert!(!state.is_leaving("s", Incarnation(1)));
+    let old = u64::try_from(MARK_KEEP.as_millis()).expect("fits");
+    assert!(state.admit_marks(vec![mark(old)], now).is_empty(), "a forgotten one stays forgotten");
+    assert_eq!(state.root(), State::new().root());
+}
+
+#[test]
+fn messages_stay_bounded() {
+    let name = |number: u64| format!("{number}-{}", "x".repeat(5000));
+    let large = |number: u64| Object {
+        key: Key { kind: Kind::Policy, name: name(number).into() },
+        revision: number,
+        spec: None,
+    };
+    let chunks = spread::chunks((0..300).map(large).collect());
+    assert_eq!(chunks.iter().map(Vec::len).sum::<usize>(), 300);
+    for chunk in chunks {
+        let bytes: usize = chunk.iter().map(|object| object.key.name.len()).sum();
+        assert!(bytes <= spread::MESSAGE_LIMIT);
+    }
+    let mut state = State::new();
+    let mark = |number| Mark { server: "s".into(), incarnation: Incarnation(number), age_ms: 0 };
+    state.admit_marks((0..5000).map(mark).collect(), Time::ZERO);
+    assert_eq!(state.marks(Time::ZERO).len(), spread::MARKS_LIMIT);
+}
