peer: tests of membership under pairs of faults

Six tables, two of them killed, frozen, mute, deaf or cut from one other, in all pairs and seeded orders; pauses; old news; new lives at an address.

--- /dev/null
+++ b/crates/process/peer/tests/member_faults.rs
@@ -0,0 +1,219 @@
+//! Who is there, when nodes are killed, frozen or cut, one way or both.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use base::time::Time;
+use peer::member::INDIRECT_PROBES;
+use peer::member::Settings;
+use peer::member::Table;
+use peer::record::Addresses;
+use peer::record::Leave;
+use peer::record::Record;
+use peer::record::State;
+use wire::id::Incarnation;
+
+const NODES: usize = 6;
+const PERIOD: Duration = Duration::from_millis(500);
+/// Enough periods for probes in turn, suspicion, and the news of both.
+const SETTLED: u32 = 30;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    Killed,
+    Frozen,
+    /// What it sends is lost.
+    Mute,
+    /// What is sent to it is lost.
+    Deaf,
+    /// Cut from one other node, both ways.
+    Pair,
+}
+
+const FAULTS: [Fault; 6] =
+    [Fault::None, Fault::Killed, Fault::Frozen, Fault::Mute, Fault::Deaf, Fault::Pair];
+
+struct Net {
+    tables: Vec<Table>,
+    faults: Vec<Fault>,
+    probes: BTreeMap<usize, u32>,
+    now: Time,
+}
+
+fn record(number: usize) -> Record {
+    let at = SocketAddr::from(([127, 0, 0, 1], 1000 + number as u16));
+    let addresses = Addresses { caller: at, peer: at, operator: at };
+    let name = format!("node-{number}").into();
+    let mut record =
+        Record::new(name, Incarnation(number as u64), addresses, "dc".into(), "region".into());
+    record.state = State::Alive;
+    record.fresh = true;
+    record
+}
+
+impl Net {
+    fn new(seed: u64) -> Self {
+        let all: Vec<Record> = (0..NODES).map(record).collect();
+        let mut tables = Vec::new();
+        for own in &all {
+            let mut table = Table::new(own.clone(), Settings::default(), seed ^ own.incarnation.0);
+            table.merge(all.clone(), Time::ZERO);
+            tables.push(table);
+        }
+        let (faults, probes) = (vec![Fault::None; NODES], BTreeMap::new());
+        Self { tables, faults, probes, now: Time::ZERO }
+    }
+
+    fn runs(&self, node: usize) -> bool {
+        !matches!(self.faults[node], Fault::Killed | Fault::Frozen)
+    }
+
+    fn passes(&self, from: usize, to: usize) -> bool {
+        let pair = |a: usize, b: usize| self.faults[a] == Fault::Pair && b == (a + 1) % NODES;
+        let cut = pair(from, to) || pair(to, from);
+        let lost = self.faults[from] == Fault::Mute || self.faults[to] == Fault::Deaf;
+        self.runs(from) && self.runs(to) && !cut && !lost
+    }
+
+    /// One probe with its answer; what arrives is taken even if no answer does.
+    fn probe(&mut self, from: usize, to: usize) -> bool {
+        let peer = self.tables[to].own().peer;
+        let mut sent = self.tables[from].opinions(peer);
+        sent.push(self.tables[from].own().clone());
+        sent.extend(self.tables[from].rumors());
+        if !self.passes(from, to) {
+            return false;
+        }
+        self.tables[to].merge(sent, self.now);
+        if !self.passes(to, from) {
+            return false;
+        }
+        let answer = self.tables[to].own().clone();
+        let rumors = self.tables[to].rumors();
+        self.tables[from].acked(Incarnation(to as u64), answer, self.now);
+        self.tables[from].merge(rumors, self.now);
+        true
+    }
+
+    fn period(&mut self) {
+        self.now = self.now + PERIOD;
+        for node in (0..NODES).filter(|node| self.runs(*node)).collect::<Vec<usize>>() {
+            self.tables[node].tick(self.now);
+            let Some(target) = self.tables[node].next_probe() else { continue };
+            *self.probes.entry(node).or_default() += 1;
+            let to = target.incarnation.0 as usize;
+            let direct = self.probe(node, to);
+            let relays = self.tables[node].sample(INDIRECT_PROBES, Some(target.incarnation));
+            let relayed = relays.iter().map(|relay| relay.incarnation.0 as usize).any(|relay| {
+                self.passes(node, relay)
+                    && self.passes(relay, to)
+                    && self.passes(to, relay)
+                    && self.passes(relay, node)
+            });
+            if !direct && !relayed {
+                self.tables[node].unreachable(target.incarnation, self.now);
+            }
+        }
+    }
+
+    fn states(&self, of: usize) -> Vec<State> {
+        let known = |node: &usize| self.tables[*node].get(Incarnation(of as u64)).map(|r| r.state);
+        let others = (0..NODES).filter(|node| *node != of && self.faults[*node] == Fault::None);
+        others.filter_map(|node| known(&node)).collect()
+    }
+}
+
+#[test]
+fn pairs_of_faults_are_found_and_sound_nodes_stay() {
+    for first in FAULTS {
+        for second in FAULTS {
+            for seed in 0..10 {
+                let mut random = ChaCha8Rng::seed_from_u64(seed);
+                let mut net = Net::new(seed);
+                (0..random.random_range(1..10)).for_each(|_| net.period());
+                net.faults[1] = first;
+                net.faults[4] = second;
+                (0..SETTLED).for_each(|_| net.period());
+                let what = format!("{first:?} {second:?} seed {seed}");
+                for (node, fault) in [(1, first), (4, second)] {
+                    let gone = !matches!(fault, Fault::None | Fault::Pair);
+                    let wanted = if gone { State::Dead } else { State::Alive };
+                    assert!(
+                        net.states(node).iter().all(|s| *s == wanted),
+                        "{what}: {:?}",
+                        net.states(node)
+                    );
+                }
+                for node in [0, 2, 3, 5] {
+                    assert!(
+                        net.states(node).iter().all(|s| *s == State::Alive),
+                        "{what}: node {node}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn frozen_node_wakes_not_fresh_and_is_taken_back() {
+    for seed in 0..20 {
+        let mut net = Net::new(seed);
+        net.period();
+        net.faults[1] = Fault::Frozen;
+        (0..SETTLED).for_each(|_| net.period());
+        net.faults[1] = Fault::None;
+        let ticked = net.tables[1].tick(net.now);
+        assert!(ticked.woke);
+        assert!(!net.tables[1].own().fresh, "it can't vouch for what it holds");
+        assert!(!net.tables[1].known_peers().is_empty(), "it knows where to join");
+        assert!(net.probe(1, 0), "it joins by a peer that it knew");
+        net.tables[1].update(|own| own.state = State::Alive);
+        (0..SETTLED).for_each(|_| net.period());
+        assert!(
+            net.states(1).iter().all(|state| *state == State::Alive),
+            "seed {seed}: {:?}",
+            net.states(1)
+        );
+    }
+}
+
+#[test]
+fn each_node_probes_once_a_period() {
+    let mut net = Net::new(1);
+    (0..40).for_each(|_| net.period());
+    assert!(net.probes.values().all(|count| *count == 40), "{:?}", net.probes);
+}
+
+#[test]
+fn old_news_changes_nothing() {
+    let mut net = Net::new(1);
+    let old = net.tables[1].own().clone();
+    net.tables[1].update(|own| own.leave = Leave::Going);
+    let leaving = net.tables[1].own().clone();
+    let (table, now) = (&mut net.tables[0], Time::ZERO);
+    table.merge(vec![leaving, old.clone()], now);
+    let known = |table: &Table| table.get(Incarnation(1)).cloned().expect("a member");
+    assert_eq!(known(table).leave, Leave::Going);
+    let mut forged = old;
+    forged.sequence += 5;
+    table.merge(vec![forged], now);
+    assert_eq!(known(table).leave, Leave::Going, "leaving never goes back");
+}
+
+#[test]
+fn new_life_at_an_address_ends_the_old_one() {
+    let mut net = Net::new(1);
+    let mut reborn = record(1);
+    reborn.incarnation = Incarnation(77);
+    net.tables[0].acked(Incarnation(1), reborn, Time::ZERO);
+    let state = |incarnation| net.tables[0].get(Incarnation(incarnation)).map(|r| r.state);
+    assert_eq!(state(1), Some(State::Dead));
+    assert_eq!(state(77), Some(State::Alive));
+}
