--- /dev/null
+++ b/crates/version/conf/src/document.rs
@@ -0,0 +1,290 @@
+//! Objects as YAML documents, as operators write them.
+//!
+//! A file holds any number of documents, separated by `---`; each has `kind`,
+//! `name`, `spec` and, if the writer wants to be sure what is replaced,
+//! `revision`.
+//!
+//! Invariant: all faults of a file are told together, each with its line and
+//! column, also those that are found by the check of the object as a whole.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use marked_yaml::Node;
+use marked_yaml::types::MarkedScalarNode;
+use serde_json::Value;
+
+use crate::catalog::Catalog;
+use crate::object::Key;
+use crate::object::Kind;
+use crate::object::Object;
+use crate::object::Spec;
+use crate::report;
+use crate::report::Place;
+use crate::report::Report;
+use crate::schema;
+use crate::shape::Field;
+use crate::shape::Finding;
+use crate::shape::Shape;
+use crate::shape::join;
+use crate::verify;
+use crate::yaml;
+
+/// The field of a document that holds the object's spec.
+const SPEC: &str = "spec";
+
+/// One object as an operator wrote it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Document {
+    /// The object's name.
+    pub key: Key,
+    /// The revision that the writer means to replace, if given.
+    pub revision: Option<u64>,
+    /// What the object shall say.
+    pub spec: Spec,
+    /// Where each part of the document stands, by path.
+    places: BTreeMap<String, Place>,
+}
+
+impl Document {
+    /// Where the part of the spec at `path` stands; if it is not in the text,
+    /// the nearest part that holds it.
+    pub fn place(&self, path: &str) -> Place {
+        let path = if path.starts_with('[') { format!("{SPEC}{path}") } else { join(SPEC, path) };
+        nearest(&self.places, &path)
+    }
+
+    /// Whether the text names the part of the spec at `path`.
+    pub fn has(&self, path: &str) -> bool {
+        self.places.contains_key(&join(SPEC, path))
+    }
+}
+
+fn nearest(places: &BTreeMap<String, Place>, path: &str) -> Place {
+    let mut path = path.trim_end_matches('.');
+    loop {
+        if let Some(place) = places.get(path) {
+            return *place;
+        }
+        let Some(end) = path.rfind(['.', '[']) else {
+            return places.get("").copied().unwrap_or_default();
+        };
+        path = &path[..end];
+    }
+}
+
+/// Reads the documents of the text of `file`. All faults are reported together.
+pub fn parse(file: &str, text: &str) -> Result<Vec<Document>, Report> {
+    let mut findings = Vec::new();
+    let mut found = Vec::new();
+    for document in yaml::documents(text) {
+        if let Some(tree) = document.parse(&mut findings) {
+            found.extend(read(&tree, &mut findings));
+        }
+    }
+    if found.is_empty() && findings.is_empty() {
+        let place = Place { line: 1, column: 1, length: 1 };
+        findings.push(report::Finding { place, message: "no document found".to_string() });
+    }
+    duplicates(&found, &mut findings);
+    if findings.is_empty() { Ok(found) } else { Err(Report::new(file, text, findings)) }
+}
+
+fn duplicates(documents: &[Document], findings: &mut Vec<report::Finding>) {
+    let mut keys = BTreeSet::new();
+    for document in documents.iter().filter(|document| !keys.insert(&document.key)) {
+        let place = document.places.get("name").copied().unwrap_or_default();
+        findings.push(report::Finding { place, message: format!("{} again", document.key) });
+    }
+}
+
+/// Reads one document; its faults go to `findings`.
+fn read(tree: &Node, findings: &mut Vec<report::Finding>) -> Option<Document> {
+    let kinds = Kind::ALL.map(Kind::as_str);
+    let kind = tree.as_mapping().and_then(|top| top.get_scalar("kind"));
+    let kind = kind.and_then(|kind| Kind::parse(kind.as_str()));
+    let mut reader = Reader::default();
+    // The spec is checked by its own kind's shape below, and not at all as long
+    // as the kind is not known.
+    let value = reader.top(tree, kind.map(schema::shape));
+    let mut faults = Vec::new();
+    for name in ["kind", "name", SPEC].iter().filter(|name| value.get(**name).is_none()) {
+        faults.push(Finding::new("", format!("`{name}` is missing")));
+    }
+    if kind.is_none() && value.get("kind").is_some() {
+        faults.push(Finding::new("kind", format!("expected one of {}", kinds.join(", "))));
+    }
+    check_top(&value, &mut faults);
+    let spec = match (kind, value.get(SPEC)) {
+        (Some(kind), Some(spec)) => read_spec(kind, spec, &mut faults),
+        _ => None,
+    };
+    let places = reader.places;
+    let located = |fault: &Finding| report::Finding {
+        place: nearest(&places, &fault.path),
+        message: fault.to_string(),
+    };
+    findings.extend(faults.iter().map(located));
+    let name = value.get("name")?.as_str()?;
+    let key = Key { kind: kind?, name: Arc::from(name) };
+    let revision = value.get("revision").and_then(Value::as_u64);
+    Some(Document { key, revision, spec: spec?, places })
+}
+
+fn check_top(value: &Value, faults: &mut Vec<Finding>) {
+    for (key, value) in value.as_object().into_iter().flatten() {
+        match key.as_str() {
+            "kind" | SPEC => {}
+            "name" => Shape::Text.check(value, "name", faults),
+            "revision" => Shape::Whole(u64::MAX).check(value, "revision", faults),
+            _ => faults.push(Finding::new(key, "unknown field")),
+        }
+    }
+}
+
+fn read_spec(kind: Kind, value: &Value, faults: &mut Vec<Finding>) -> Option<Spec> {
+    let found = schema::read(kind, value);
+    let prefixed = |fault: Finding| Finding::new(join(SPEC, &fault.path), fault.message);
+    match found {
+        Ok(spec) => Some(spec),
+        Err(findings) => {
+            faults.extend(findings.into_iter().map(prefixed));
+            None
+        }
+    }
+}
+
+/// Turns nodes into JSON values and keeps their places.
+#[derive(Default)]
+struct Reader {
+    places: BTreeMap<String, Place>,
+}
+
+impl Reader {
+    /// The value of a document whose spec has the shape `spec`.
+    fn top(&mut self, tree: &Node, spec: Option<Shape>) -> Value {
+        let Some(mapping) = tree.as_mapping() else { return Value::Null };
+        let first = mapping.keys().next().map_or_else(|| yaml::place(tree), yaml::scalar_place);
+        self.places.insert(String::new(), first);
+        let mut object = serde_json::Map::new();
+        for (key, node) in mapping.iter().filter(|(key, _)| !yaml::is_duplicate(key)) {
+            let shape = match key.as_str() {
+                SPEC => spec,
+                "revision" => Some(Shape::Whole(u64::MAX)),
+                _ => Some(Shape::Text),
+            };
+            let value = self.node(node, shape.as_ref(), false, key);
+            self.place_of_key(key, key, node);
+            object.insert(key.to_string(), value);
+        }
+        Value::Object(object)
+    }
+
+    fn node(&mut self, node: &Node, shape: Option<&Shape>, optional: bool, path: &str) -> Value {
+        self.places.insert(path.to_string(), yaml::place(node));
+        match node {
+            Node::Scalar(scalar) => scalar_value(scalar, shape, optional),
+            Node::Sequence(entries) => {
+                let shape = match shape {
+                    Some(Shape::List(entry)) => Some(*entry),
+                    _ => None,
+                };
+                let entries = entries.iter().enumerate();
+                entries.map(|(i, e)| self.node(e, shape, false, &format!("{path}[{i}]"))).collect()
+            }
+            Node::Mapping(mapping) => {
+                let mut object = serde_json::Map::new();
+                for (key, node) in mapping.iter().filter(|(key, _)| !yaml::is_duplicate(key)) {
+                    let field = field(shape, key);
+                    let (shape, optional) =
+                        field.map_or((None, false), |field| (Some(&field.shape), field.optional));
+                    let path = join(path, key);
+                    let value = self.node(node, shape, optional, &path);
+                    if field.is_none() {
+                        self.place_of_key(key, &path, node);
+                    }
+                    object.insert(key.to_string(), value);
+                }
+                Value::Object(object)
+            }
+        }
+    }
+
+    /// A mapping begins below its key, and an unknown key is itself the fault,
+    /// so both are shown at the key.
+    fn place_of_key(&mut self, key: &MarkedScalarNode, path: &str, node: &Node) {
+        let known = ["kind", "name", "revision"].contains(&key.as_str());
+        if node.as_scalar().is_none() || !known {
+            self.places.insert(path.to_string(), yaml::scalar_place(key));
+        }
+    }
+}
+
+fn field(shape: Option<&Shape>, key: &str) -> Option<&'static Field> {
+    match shape {
+        Some(Shape::Record(fields)) => fields.iter().find(|field| field.name == key),
+        _ => None,
+    }
+}
+
+/// A scalar as the shape wants it; one that does not fit stays a text, which
+/// the check of the shape then reports.
+fn scalar_value(scalar: &MarkedScalarNode, shape: Option<&Shape>, optional: bool) -> Value {
+    let text = scalar.as_str();
+    if optional && scalar.may_coerce() && ["", "~", "null"].contains(&text) {
+        return Value::Null;
+    }
+    let read = match shape {
+        Some(Shape::Whole(_)) => scalar.as_u64().map(Value::from),
+        Some(Shape::Decimal) => {
+            scalar.as_f64().filter(|number| number.is_finite()).map(Value::from)
+        }
+        Some(Shape::Flag) => scalar.as_bool().map(Value::from),
+        _ => None,
+    };
+    read.unwrap_or_else(|| Value::from(text))
+}
+
+/// Checks documents as a set that is applied to `catalog`, in the order in which
+/// kinds refer to each other. Returns the catalog with them, or the faults.
+pub fn verify(
+    catalog: &Catalog,
+    documents: &[Document],
+) -> Result<Catalog, Vec<(Key, report::Finding)>> {
+    let mut next = catalog.clone();
+    let mut findings = Vec::new();
+    for document in in_order(documents) {
+        let revision = next.revision() + 1;
+        let spec = Some(document.spec.clone());
+        let object = Object { key: document.key.clone(), revision, spec };
+        for fault in verify::object(&next, &object) {
+            let place = document.place(&fault.path);
+            let message = fault.to_string();
+            findings.push((document.key.clone(), report::Finding { place, message }));
+        }
+        next = next.with_objects(&[object]).0;
+    }
+    if findings.is_empty() { Ok(next) } else { Err(findings) }
+}
+
+/// Documents in the order in which kinds refer to each other.
+pub fn in_order(documents: &[Document]) -> Vec<&Document> {
+    let rank = |document: &&Document| Kind::ALL.iter().position(|kind| *kind == document.key.kind);
+    let mut ordered: Vec<_> = documents.iter().collect();
+    ordered.sort_by_key(rank);
+    ordered
+}
+
+/// An object as the document that [`parse`] reads.
+pub fn write(object: &Object) -> String {
+    let mut text = format!(
+        "kind: {}\nname: {}\nrevision: {}\n",
+        object.key.kind, object.key.name, object.revision
+    );
+    if let Some(spec) = &object.spec {
+        // JSON in one line is YAML's flow style.
+        text.push_str(&format!("spec: {}\n", schema::write(spec)));
+    }
+    text
+}
--- a/crates/version/conf/src/lib.rs
+++ b/crates/version/conf/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 
 pub mod catalog;
+pub mod document;
 pub mod object;
 pub mod report;
 pub mod schema;
--- a/crates/version/conf/src/shape.rs
+++ b/crates/version/conf/src/shape.rs
@@ -144,7 +144,10 @@
     }
 }
 
-/// The path of a field of what stands at `path`.
+/// The path of a field of what stands at `path`; either may be empty.
 pub fn join(path: &str, field: &str) -> String {
-    if path.is_empty() { field.to_string() } else { format!("{path}.{field}") }
+    if path.is_empty() || field.is_empty() {
+        return format!("{path}{field}");
+    }
+    format!("{path}.{field}")
 }
