--- /dev/null
+++ b/crates/process/ctl/src/error.rs
@@ -0,0 +1,124 @@
+//! Why a command failed, and the exit code that tells it.
+//!
+//! Invariant: each cause that a script must tell apart has its own code, and 6
+//! is given whenever a write may have taken effect.
+
+use std::process::ExitCode;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::output;
+use conf::report::Report;
+use rpc::failure::Failure;
+
+/// The exit code of a command; also the number that the process returns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Code {
+    /// It was done.
+    Done = 0,
+    /// What was done could not be printed.
+    Output = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// A file or an object breaks the rules; nothing was written.
+    Invalid = 3,
+    /// The object is at another revision; nothing was written.
+    Conflict = 4,
+    /// No node, or not the platform, could do it; nothing was written.
+    Unavailable = 5,
+    /// The write may or may not have taken effect.
+    Unknown = 6,
+    /// There is no such object, request or target.
+    NotFound = 7,
+}
+
+impl From<Code> for ExitCode {
+    fn from(code: Code) -> Self {
+        Self::from(code as u8)
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The command line is wrong.
+    #[error("{0}\nTry `hsctl --help`.")]
+    Usage(String),
+    /// Files break the rules; a report each.
+    #[error("{}", join(.0))]
+    Files(Vec<Report>),
+    /// A call failed.
+    #[error("{0}")]
+    Call(#[from] Failure),
+    /// What was done could not be printed.
+    #[error("the output can't be written: {0}")]
+    Output(#[from] std::io::Error),
+}
+
+fn join(reports: &[Report]) -> String {
+    let lines: Vec<_> = reports.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+impl Error {
+    /// The exit code.
+    pub fn code(&self) -> Code {
+        match self {
+            Self::Usage(_) => Code::Usage,
+            Self::Output(_) => Code::Output,
+            Self::Files(_) | Self::Call(Failure::Invalid(_)) => Code::Invalid,
+            Self::Call(Failure::Conflict(_)) => Code::Conflict,
+            Self::Call(Failure::Unavailable { .. } | Failure::Unsupported(_)) => Code::Unavailable,
+            Self::Call(Failure::Unknown { .. }) => Code::Unknown,
+            Self::Call(Failure::NotFound(_)) => Code::NotFound,
+        }
+    }
+
+    /// The same for programs: `failure` names the cause.
+    pub fn to_json(&self) -> Value {
+        let message = self.to_string();
+        match self {
+            Self::Usage(_) => json!({"failure": "usage", "message": message}),
+            Self::Output(_) => json!({"failure": "output", "message": message}),
+            Self::Files(reports) => {
+                let findings: Vec<_> = reports.iter().flat_map(findings).collect();
+                json!({"failure": "invalid", "message": message, "findings": findings})
+            }
+            Self::Call(failure) => call_to_json(failure, &message),
+        }
+    }
+}
+
+fn findings(report: &Report) -> Vec<Value> {
+    let value = |finding: &conf::report::Finding| {
+        json!({
+            "file": report.file(),
+            "line": finding.place.line,
+            "column": finding.place.column,
+            "message": finding.message,
+        })
+    };
+    report.findings().iter().map(value).collect()
+}
+
+fn call_to_json(failure: &Failure, message: &str) -> Value {
+    match failure {
+        Failure::Invalid(findings) => {
+            json!({"failure": "invalid", "message": message, "findings": findings})
+        }
+        Failure::Conflict(winner) => {
+            let winner = winner.as_ref().map(output::object_to_json);
+            json!({"failure": "conflict", "message": message, "winner": winner})
+        }
+        Failure::NotFound(_) => json!({"failure": "not_found", "message": message}),
+        Failure::Unavailable { retry_after_ms, .. } => {
+            json!({"failure": "unavailable", "message": message, "retry_after_ms": retry_after_ms})
+        }
+        Failure::Unknown { operation, .. } => {
+            json!({"failure": "unknown_outcome", "message": message, "operation": operation})
+        }
+        Failure::Unsupported(_) => json!({"failure": "unsupported", "message": message}),
+    }
+}
--- a/crates/process/ctl/src/lib.rs
+++ b/crates/process/ctl/src/lib.rs
@@ -1,3 +1,12 @@
-//! The `ctl` crate of heatherseam; see its README.
+//! `hsctl`, the operators' command.
 
 #![deny(missing_docs)]
+
+pub mod apply;
+pub mod client;
+pub mod command;
+pub mod error;
+pub mod local;
+pub mod output;
+pub mod remote;
+pub mod run;
