--- a/crates/process/ctl/src/error.rs
+++ b/crates/process/ctl/src/error.rs
@@ -3,12 +3,14 @@
 //! Invariant: each cause that a script must tell apart has its own code, and 6
 //! is given whenever a write may have taken effect.
 
+use std::fmt;
 use std::process::ExitCode;
 
 use serde_json::Value;
 use serde_json::json;
 
 use crate::output;
+use conf::document;
 use conf::report::Report;
 use rpc::failure::Failure;
 
@@ -49,8 +51,8 @@
     /// Files break the rules; a report each.
     #[error("{}", join(.0))]
     Files(Vec<Report>),
-    /// A call failed.
-    #[error("{0}")]
+    /// A call failed; of a conflict the winner is shown.
+    #[error("{}", Shown(.0))]
     Call(#[from] Failure),
     /// What was done could not be printed.
     #[error("the output can't be written: {0}")]
@@ -62,6 +64,25 @@
     lines.join("\n")
 }
 
+struct Shown<'a>(&'a Failure);
+
+impl fmt::Display for Shown<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)?;
+        match self.0 {
+            Failure::Conflict(Some(winner)) => {
+                write!(f, "\nIt now says:\n{}", document::write(winner).trim_end())
+            }
+            Failure::Unknown { .. } => f.write_str(UNKNOWN_HINT),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// What to do about a write of unknown outcome.
+const UNKNOWN_HINT: &str =
+    "\nIt may still take effect. Look with `hsctl get` before you repeat it.";
+
 impl Error {
     /// The exit code.
     pub fn code(&self) -> Code {
@@ -86,7 +107,7 @@
                 let findings: Vec<_> = reports.iter().flat_map(findings).collect();
                 json!({"failure": "invalid", "message": message, "findings": findings})
             }
-            Self::Call(failure) => call_to_json(failure, &message),
+            Self::Call(failure) => call_to_json(failure, &failure.to_string()),
         }
     }
 }
--- /dev/null
+++ b/crates/process/ctl/tests/fake/mod.rs
@@ -0,0 +1,305 @@
+//! A node in the test's process: a backend in memory behind the real service, on
+//! a port that the system chooses.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+
+use conf::catalog::Catalog;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Spec;
+use conf::verify;
+use rpc::backend::Backend;
+use rpc::backend::Expected;
+use rpc::backend::Reply;
+use rpc::backend::Target;
+use rpc::backend::Write;
+use rpc::failure::Failure;
+use rpc::proto;
+use rpc::service::Service;
+
+/// How the platform behind the node behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Platform {
+    /// Answers.
+    #[default]
+    Up,
+    /// Is stopped.
+    Down,
+    /// Takes writes; their answers are lost and can't be read back.
+    Lost,
+    /// Never answers, so neither does the node.
+    Silent,
+    /// Another operator changes the object before each write.
+    Raced,
+}
+
+#[derive(Default)]
+struct State {
+    platform: Platform,
+    catalog: Catalog,
+    writes: Vec<Write>,
+}
+
+/// A node in memory.
+#[derive(Default)]
+pub struct Node {
+    state: Mutex<State>,
+}
+
+impl Node {
+    /// Starts one; returns its operators' address.
+    pub async fn start() -> (Arc<Self>, SocketAddr) {
+        let node = Arc::new(Self::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let server = Service::new(node.clone()).into_server();
+        let incoming = TcpIncoming::from(listener);
+        tokio::spawn(Server::builder().add_service(server).serve_with_incoming(incoming));
+        (node, address)
+    }
+
+    /// Sets how the platform behaves from now on.
+    pub fn set_platform(&self, platform: Platform) {
+        self.state.lock().platform = platform;
+    }
+
+    /// The writes that reached the node.
+    pub fn writes(&self) -> Vec<Write> {
+        self.state.lock().writes.clone()
+    }
+
+    /// What is stored now.
+    pub fn spec(&self, kind: Kind, name: &str) -> Option<Spec> {
+        let key = Key { kind, name: name.into() };
+        self.state.lock().catalog.get(&key).and_then(|object| object.spec.clone())
+    }
+}
+
+impl State {
+    fn check_platform(&self) -> Result<(), Failure> {
+        match self.platform {
+            Platform::Down => Err(Failure::unavailable("the platform does not answer")),
+            _ => Ok(()),
+        }
+    }
+
+    fn live(&self, key: &Key) -> Option<Object> {
+        self.catalog.get(key).filter(|object| object.spec.is_some()).map(|o| (**o).clone())
+    }
+
+    fn put(&mut self, key: Key, spec: Option<Spec>) -> Object {
+        let object = Object { key, revision: self.catalog.revision() + 1, spec };
+        self.catalog = self.catalog.with_objects(std::slice::from_ref(&object)).0;
+        object
+    }
+
+    fn write(&mut self, write: Write) -> Result<Object, Failure> {
+        self.writes.push(write.clone());
+        self.check_platform()?;
+        if self.platform == Platform::Raced {
+            let now = self.live(&write.key).and_then(|object| object.spec);
+            self.put(write.key.clone(), now);
+        }
+        let present = self.live(&write.key);
+        let revision = present.as_ref().map(|object| object.revision);
+        match (write.expected, revision) {
+            (Expected::Absent, None) => {}
+            (Expected::Revision(expected), Some(revision)) if expected == revision => {}
+            _ => return Err(Failure::Conflict(present)),
+        }
+        let next = Object { key: write.key.clone(), revision: 0, spec: write.spec.clone() };
+        let findings = verify::object(&self.catalog, &next);
+        if !findings.is_empty() {
+            return Err(Failure::Invalid(findings));
+        }
+        let object = self.put(write.key, write.spec);
+        if self.platform == Platform::Lost {
+            let message = "the platform's answer was lost".to_string();
+            return Err(Failure::Unknown { message, operation: write.operation });
+        }
+        Ok(object)
+    }
+}
+
+impl Backend for Node {
+    fn write(&self, write: Write) -> Reply<'_, Object> {
+        let result = self.state.lock().write(write);
+        let silent = self.state.lock().platform == Platform::Silent;
+        Box::pin(async move {
+            if silent {
+                std::future::pending::<()>().await;
+            }
+            result
+        })
+    }
+
+    fn get(&self, key: Key) -> Reply<'_, Object> {
+        let state = self.state.lock();
+        let found = state
+            .check_platform()
+            .and_then(|()| state.live(&key).ok_or_else(|| Failure::NotFound(key.to_string())));
+        Box::pin(async move { found })
+    }
+
+    fn list(&self, kind: Option<Kind>) -> Reply<'_, Vec<Object>> {
+        let state = self.state.lock();
+        let wanted = |object: &&Arc<Object>| {
+            object.spec.is_some() && kind.is_none_or(|kind| object.key.kind == kind)
+        };
+        let found: Vec<_> = state.catalog.iter().filter(wanted).map(|o| (**o).clone()).collect();
+        let result = state.check_platform().map(|()| found);
+        Box::pin(async move { result })
+    }
+
+    fn status(&self) -> Reply<'_, proto::StatusReply> {
+        let reachable = self.state.lock().platform != Platform::Down;
+        let member = |name: &str, revision, leaving| proto::Node {
+            name: name.to_string(),
+            data_centre: "west".to_string(),
+            incarnation: "00000000000000a1".to_string(),
+            peer_address: "10.0.0.1:7001".to_string(),
+            applied_revision: revision,
+            fresh: true,
+            leaving,
+            liveness: "alive".to_string(),
+            age_ms: 40,
+        };
+        let status = proto::StatusReply {
+            node: "first".to_string(),
+            members: vec![member("first", 12, false), member("second", 9, true)],
+            lowest_applied_revision: 9,
+            platform_reachable: reachable,
+            platform_silent_ms: Some(if reachable { 3 } else { 4000 }),
+            leaving_servers: vec!["a1".to_string()],
+        };
+        Box::pin(async move { Ok(status) })
+    }
+
+    fn drain(&self, target: Target) -> Reply<'_, String> {
+        Box::pin(async move {
+            match target {
+                Target::Node(name) if name == "first" => Ok("first stops".to_string()),
+                Target::Server(name) if name == "a1" => Ok("a1 is leaving".to_string()),
+                Target::Node(name) | Target::Server(name) => Err(Failure::NotFound(name)),
+            }
+        })
+    }
+
+    fn dump(&self) -> Reply<'_, proto::DumpReply> {
+        let state_json = r#"{"requests":3}"#.to_string();
+        Box::pin(async move { Ok(proto::DumpReply { node: "first".to_string(), state_json }) })
+    }
+
+    fn explain(&self, request: String) -> Reply<'_, String> {
+        Box::pin(async move {
+            match request.as_str() {
+                "a1-1" => Ok("0.000ms pinned desk-1@4\n0.120ms sent to a1\n".to_string()),
+                _ => Err(Failure::NotFound(format!("request {request}"))),
+            }
+        })
+    }
+
+    fn report(&self, experiment: String) -> Reply<'_, proto::ReportReply> {
+        let arm = |name: &str, p99_ms, p99_ratio| proto::ArmReport {
+            name: name.to_string(),
+            policy: name.to_string(),
+            requests: 5000,
+            p50_ms: 4.0,
+            p99_ms,
+            coverage: 0.9999,
+            sends_per_shard: 1.02,
+            p99_ratio,
+            coverage_difference: None,
+            extra_load_ratio: None,
+            stopped: None,
+        };
+        let ratio = proto::Interval { estimate: 0.8, low: 0.75, high: 0.86 };
+        let report = proto::ReportReply {
+            experiment,
+            service: "desk".to_string(),
+            stage: "running".to_string(),
+            value: "tail".to_string(),
+            arms: vec![arm("old", 20.0, None), arm("new", 16.0, Some(ratio))],
+            winner: Some("new".to_string()),
+            verdict: "new wins on the tail".to_string(),
+            nodes: vec!["first".to_string()],
+            nodes_missing: vec!["second".to_string()],
+        };
+        Box::pin(async move { Ok(report) })
+    }
+}
+
+/// What a run of `hsctl` gave.
+pub struct Run {
+    /// The exit code.
+    pub code: u8,
+    /// What it printed, errors after results, the node's address as `NODE`.
+    pub text: String,
+}
+
+/// Runs `hsctl` against the nodes at `addresses`.
+pub async fn hsctl(addresses: &[SocketAddr], line: &str) -> Run {
+    let mut arguments: Vec<String> = line.split_whitespace().map(str::to_string).collect();
+    for address in addresses {
+        arguments.extend(["--node".to_string(), address.to_string()]);
+    }
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let code = ctl::run::run(&arguments, &mut out, &mut err).await;
+    let mut text = String::from_utf8_lossy(&out).into_owned() + &String::from_utf8_lossy(&err);
+    for address in addresses {
+        text = text.replace(&address.to_string(), "NODE");
+    }
+    Run { code: code as u8, text }
+}
+
+/// An address where nothing listens.
+pub async fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+/// A file of objects for `hsctl -f`, with the test's name in its own.
+pub fn file(test: &str, text: &str) -> String {
+    let path = format!("{}/{test}.yaml", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+/// Two policies, a map, a service and an experiment.
+pub const OBJECTS: &str = "\
+kind: experiment
+name: trial
+spec:
+  service: desk
+  arms:
+    - {name: old, policy: steady, weight: 1}
+    - {name: new, policy: quick, weight: 1}
+---
+kind: service
+name: desk
+spec: {value: tail, deadline_ms: 50, policy: steady, map: desk-1, slots: 2, connections: 25}
+---
+kind: map
+name: desk-1
+spec:
+  service: desk
+  groups:
+    - servers: [{name: a1, address: '10.0.0.1:80', data_centre: west}]
+---
+kind: policy
+name: steady
+spec: {}
+---
+kind: policy
+name: quick
+spec: {choice: home}
+";
