--- a/crates/process/ctl/src/command.rs
+++ b/crates/process/ctl/src/command.rs
@@ -14,7 +14,7 @@
 use rpc::backend::Target;
 
 /// The time that one call to one node may take unless `--timeout` says more.
-const TIMEOUT_S: f64 = 5.0;
+const TIMEOUT_S: f64 = 10.0;
 /// The longest `--timeout`.
 const TIMEOUT_LIMIT_S: f64 = 3600.0;
 
@@ -103,7 +103,7 @@
     options.optmulti("f", "file", "YAML file of objects; may be repeated", "FILE");
     options.optopt("o", "output", "table (default) or json", "FORMAT");
     options.optopt("r", "revision", "change the object only at this revision", "N");
-    options.optopt("t", "timeout", "seconds that a call to a node may take (5)", "SECONDS");
+    options.optopt("t", "timeout", "seconds that a call to a node may take (10)", "SECONDS");
     options.optopt("w", "winner", "the arm that an experiment is concluded for", "ARM");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
--- a/crates/version/conf/src/settings.rs
+++ b/crates/version/conf/src/settings.rs
@@ -92,8 +92,6 @@
     operator_address: SocketAddr = Default::Required, "", Bounds::Any;
     /// The address that lookups name for callers, if not `caller_address`.
     advertise_caller: Option<SocketAddr> = Default::Unset, "", Bounds::Any;
-    /// The address that other nodes use, if not `peer_address`.
-    advertise_peer: Option<SocketAddr> = Default::Unset, "", Bounds::Any;
     /// Where the platform's object API answers; the first that answers is used.
     platform: Vec<SocketAddr> = Default::Required, "", Bounds::Length(1, 16);
     /// Peer addresses of nodes that a new node asks first; with none, the node
@@ -115,15 +113,14 @@
     ticket_keep_ms: u64 = Default::Text("600000"), "ms", Bounds::Number(1_000, 86_400_000);
     /// The tickets that a lookup hands out at once.
     ticket_block: u32 = Default::Text("8"), "tickets", Bounds::Number(1, 1_024);
-    /// The longest time that a planned stop waits for requests in progress.
+    /// The longest time that a planned stop may take after `keep_ms`; past it the
+    /// node goes all the same.
     stop_limit_ms: u64 = Default::Text("60000"), "ms", Bounds::Number(1_000, 600_000);
     /// The longest time that a call to the platform may take; a write that takes
     /// longer is read back.
     platform_timeout_ms: u64 = Default::Text("2000"), "ms", Bounds::Number(10, 60_000);
     /// The most calls a second that the node makes to the platform.
     platform_calls: u32 = Default::Text("20"), "calls/s", Bounds::Number(1, 1_000);
-    /// The nodes of each data centre that hold the platform's watch.
-    watchers: u32 = Default::Text("2"), "nodes", Bounds::Number(1, 16);
     /// The recent requests that can be explained.
     explain_capacity: u32 = Default::Text("4096"), "requests", Bounds::Number(0, 1_000_000);
     /// What is logged: a level, or levels by part such as `info, peer=debug`.
