--- a/crates/process/node/src/main.rs
+++ b/crates/process/node/src/main.rs
@@ -3,9 +3,10 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use miette::Report;
+
 use conf::settings;
 use conf::settings::Node;
-use miette::Report;
 use node::logging;
 use node::options;
 use node::options::Command;
