peer: a dump lets each lock go before it takes the next; node: tickets

Cause: a guard made within a struct literal lives until the literal's end, so Mesh::dump locked the member table twice and hung the node: /debug/state of a running node never answered, and no lookup did after it. Ruled out: the spread's lock, which was dropped before. Also: a resend of a ticketed request is told nothing about its service before its ticket's table was asked, since a first copy may have run; shards named by the caller are numbers of the first map only.

--- a/crates/process/node/src/logging.rs
+++ b/crates/process/node/src/logging.rs
@@ -8,6 +8,9 @@
 use flexi_logger::LoggerHandle;
 use log::Record;
 
+/// What libraries log unless the specification says otherwise.
+const LIBRARIES: &str = "tarpc=warn, h2=warn, hyper=warn, tower=warn";
+
 fn format(
     out: &mut dyn Write,
     now: &mut DeferredNow,
@@ -21,5 +24,5 @@
 /// Starts the log on standard error with a level specification such as
 /// `info, pool=debug`; it goes on while the handle lives.
 pub fn start(spec: &str) -> Result<LoggerHandle, FlexiLoggerError> {
-    Logger::try_with_str(spec)?.format(format).start()
+    Logger::try_with_str(format!("{LIBRARIES}, {spec}"))?.format(format).start()
 }
--- a/crates/process/node/src/request/answer.rs
+++ b/crates/process/node/src/request/answer.rs
@@ -83,7 +83,7 @@
         match self.query.ticket.clone() {
             Some(text) => match text.parse() {
                 Ok(ticket) => self.run_ticket(ticket, forward).await,
-                Err(error) => Err(self.refuse(Cause::BadTicket, &format!("{error}"))),
+                Err(error) => Err(self.refuse(Cause::BadTicket, &error.to_string())),
             },
             None if self.query.non_idempotent => Err(self.refuse(
                 Cause::NoTicket,
@@ -107,9 +107,21 @@
         }
     }
 
+    /// When a ticketed request must be answered. What stands against it, such as
+    /// an unknown service, is told only after its ticket began here: a first copy
+    /// may have run elsewhere or before, so nothing else may say "not run".
+    fn ticket_deadline(&self) -> Time {
+        let now = self.process.clock.now();
+        let catalog = self.process.catalog();
+        match catalog.service(&self.query.service) {
+            Some(service) => plan::deadline(now, &self.query, service),
+            None => now + plan::MOST_DEADLINE,
+        }
+    }
+
     /// Runs a ticketed request here, or has it run where its ticket is.
     async fn run_ticket(self, ticket: Ticket, forward: bool) -> Last {
-        let deadline = self.deadline()?;
+        let deadline = self.ticket_deadline();
         let tickets = Arc::clone(&self.process.tickets);
         match tickets.begin(ticket, self.fingerprint(), deadline).await {
             Begin::Run => self.run_begun(ticket, deadline).await,
--- a/crates/process/node/src/request/plan.rs
+++ b/crates/process/node/src/request/plan.rs
@@ -20,7 +20,7 @@
 use wire::id::Snapshot;
 
 /// The longest time limit that a request may ask for.
-const MOST_DEADLINE: Duration = Duration::from_secs(60);
+pub const MOST_DEADLINE: Duration = Duration::from_secs(60);
 
 /// When a request must be answered.
 pub fn deadline(now: Time, query: &Query, service: &Service) -> Time {
@@ -77,6 +77,9 @@
         let whole = frame.deadline.since(frame.now);
         plan = plan.with_slice(frame.now + whole * frame.policy.slice_percent.min(100) / 100);
     }
+    if query.shards.is_some() {
+        plan = plan.with_named_shards();
+    }
     if query.non_idempotent || query.ticket.is_some() {
         plan = plan.with_non_idempotent();
     }
--- a/crates/process/peer/src/mesh.rs
+++ b/crates/process/peer/src/mesh.rs
@@ -504,16 +504,14 @@
         let spread = self.core.spread.lock();
         let (root, objects, marks) = (spread.root(), spread.len(), spread.marks(now));
         drop(spread);
-        Dump {
-            members: self.members(),
-            summaries: self.core.table.lock().summaries(),
-            root,
-            objects,
-            marks,
-            fresh: self.core.fresh.lock().to_string(),
-            phase: self.core.stop.lock().phase(),
-            watchers: self.watchers(),
-            counters: self.counters(),
-        }
+        // Each lock is let go before the next is taken: a guard that is made
+        // within the literal below would live until its end.
+        let members = self.members();
+        let summaries = self.core.table.lock().summaries();
+        let fresh = self.core.fresh.lock().to_string();
+        let phase = self.phase();
+        let watchers = self.watchers();
+        let counters = self.counters();
+        Dump { members, summaries, root, objects, marks, fresh, phase, watchers, counters }
     }
 }
--- a/crates/version/trial/tests/report_text.rs
+++ b/crates/version/trial/tests/report_text.rs
@@ -44,7 +44,8 @@
           coverage %    99.50 [99.50, 99.50]
           extra load %  0.25 [0.25, 0.25]
           refused %     0.00 [0.00, 0.00]
-        winner: hedge: its interval of p99 is apart"#]].assert_eq(&report.to_string());
+        winner: hedge: its interval of p99 is apart"#]]
+    .assert_eq(&report.to_string());
     let text = serde_json::to_string(&report).expect("a report is JSON");
     let read: Report = serde_json::from_str(&text).expect("what was written is read");
     assert_eq!(read, report);
