node: experiments: arms, tallies of all nodes, report, guard

Cause: policies are to be compared under real traffic; each node assigns by a stable hash, counts for itself, and adds up the others' counts on request. Ruled out: a job with one holder; two nodes that stop the same arm are settled by the conditional write.

--- a/crates/process/node/src/process.rs
+++ b/crates/process/node/src/process.rs
@@ -2,10 +2,12 @@
 //! work.
 
 pub mod dump;
+pub mod experiments;
 pub mod follow;
 pub mod health;
 pub mod hub;
 pub mod operate;
+pub mod report;
 pub mod run;
 pub mod state;
 pub mod stop;
--- a/crates/process/node/src/process/hub.rs
+++ b/crates/process/node/src/process/hub.rs
@@ -67,6 +67,6 @@
     }
 
     fn tallies(&self) -> Vec<u8> {
-        Vec::new()
+        self.0.tallies.write()
     }
 }
--- a/crates/process/node/src/process/operate.rs
+++ b/crates/process/node/src/process/operate.rs
@@ -11,10 +11,13 @@
 use tonic::transport::Endpoint;
 
 use crate::process::dump;
+use crate::process::experiments;
+use crate::process::report;
 use crate::process::state::Process;
 use conf::object::Key;
 use conf::object::Kind;
 use conf::object::Object;
+use conf::object::Value;
 use conf::verify;
 use peer::record::Leave;
 use peer::record::Record;
@@ -91,7 +94,7 @@
     }
 
     fn report(&self, experiment: String) -> Reply<'_, proto::ReportReply> {
-        Box::pin(async move { Err(Failure::Unsupported(format!("report of {experiment}"))) })
+        Box::pin(self.report_on(experiment))
     }
 }
 
@@ -121,6 +124,20 @@
         told
     }
 
+    async fn report_on(&self, name: String) -> Result<proto::ReportReply, Failure> {
+        let catalog = self.0.catalog();
+        let Some(experiment) = catalog.experiment(&name) else {
+            return Err(Failure::NotFound(format!("experiment/{name}")));
+        };
+        let Some(mesh) = self.0.mesh() else {
+            return Err(Failure::unavailable("this node has not joined yet"));
+        };
+        let service = catalog.service(&experiment.service);
+        let value = service.map_or_else(Value::default, |service| service.value);
+        let gathered = experiments::gather(mesh, &name).await;
+        Ok(report::reply(&name, experiment, value, gathered))
+    }
+
     fn status_now(&self) -> proto::StatusReply {
         let process = &self.0;
         let mesh = process.mesh();
--- a/crates/process/node/src/process/run.rs
+++ b/crates/process/node/src/process/run.rs
@@ -14,6 +14,7 @@
 
 use crate::connection::front::Front;
 use crate::connection::front::Handler;
+use crate::process::experiments;
 use crate::process::follow;
 use crate::process::health;
 use crate::process::hub::Hub;
@@ -168,6 +169,7 @@
     let end = process.end.clone();
     tokio::spawn(async move { pool.run(end).await });
     tokio::spawn(health::run(Arc::clone(process)));
+    tokio::spawn(experiments::guard(Arc::clone(process)));
     tokio::spawn(watch_members(Arc::clone(process), Arc::clone(mesh)));
     tokio::spawn(store::follow::run(
         Arc::clone(&process.store) as Arc<dyn store::api::Store>,
--- a/crates/process/node/src/process/state.rs
+++ b/crates/process/node/src/process/state.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::process::experiments::Tallies;
 use crate::process::traces::Traces;
 use crate::process::upstreams::Chooser;
 use crate::process::upstreams::Upstreams;
@@ -65,6 +66,8 @@
     pub tickets: Arc<Tickets>,
     /// The traces of recent requests.
     pub traces: Traces,
+    /// What the arms of experiments have shown here.
+    pub tallies: Tallies,
     /// Its metrics.
     pub metrics: Metrics,
     /// The platform's client.
@@ -135,6 +138,7 @@
             upstreams,
             tickets: Arc::new(Tickets::new(tickets, clock)),
             traces: Traces::new(settings.explain_capacity as usize),
+            tallies: Tallies::default(),
             metrics: Metrics::new()?,
             store: Arc::new(Client::new(settings.platform.clone(), calling)),
             requests: TaskTracker::new(),
--- a/crates/process/node/src/request/answer.rs
+++ b/crates/process/node/src/request/answer.rs
@@ -3,9 +3,11 @@
 //! Invariant: each query gets exactly one last word, as soon as it is known.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 
+use crate::process::experiments;
 use crate::process::state::Process;
 use crate::request::drive;
 use crate::request::drive::Claim;
@@ -17,6 +19,8 @@
 use admit::ask::Outcome as Load;
 use base::hash;
 use base::time::Time;
+use conf::object::Policy;
+use conf::object::Service;
 use once::outcome::Final as Stored;
 use once::table::Begin;
 use peer::link::Acted;
@@ -24,7 +28,9 @@
 use query::context::Budget;
 use query::event::Final;
 use query::machine::Machine;
+use query::plan::Target;
 use query::record::Recorder;
+use trial::tally::Sample;
 use wire::caller::Answer;
 use wire::caller::Cause;
 use wire::caller::Outcome;
@@ -179,21 +185,45 @@
         }
     }
 
+    /// Runs the request under the arm that it is assigned to, if there is one.
     async fn admit_and_run(&self, deadline: Time, claim: Option<Arc<dyn Claim>>) -> Last {
         let process = &self.process;
+        let begin = process.clock.now();
         let catalog = process.catalog();
         let Some(service) = catalog.service(&self.query.service) else {
             return Err(self.refuse(Cause::NoService, "there is no such service"));
         };
-        let now = process.clock.now();
-        let policy = plan::policy(&catalog, &service.policy);
+        let (name, caller) = (&self.query.service, &self.query.caller);
+        let assigned = experiments::assign(&catalog, name, caller, &self.id);
+        let policy = match &assigned {
+            Some(assigned) => Arc::clone(&assigned.policy),
+            None => experiments::governing(&catalog, name)
+                .unwrap_or_else(|| Arc::clone(&service.policy)),
+        };
+        let rules = plan::policy(&catalog, &policy);
         let targets = process.upstreams.with(|table| plan::targets(table, &self.query));
-        let cost = targets.first().map_or(1, |target| target.shards.len().max(1));
+        let asked = targets.first().map_or(0, |target| target.shards.len());
+        let under = Under { service, policy: &policy, rules: &rules, targets, deadline };
+        let mut last = self.run_under(under, claim).await;
+        if let Some(assigned) = assigned {
+            let took = process.clock.now().since(begin);
+            process.tallies.count(&assigned, &sample(&last, took, asked));
+            if let Ok(answer) = &mut last {
+                answer.arm = Some(assigned.arm);
+            }
+        }
+        last
+    }
+
+    async fn run_under(&self, under: Under<'_>, claim: Option<Arc<dyn Claim>>) -> Last {
+        let process = &self.process;
+        let now = process.clock.now();
+        let cost = under.targets.first().map_or(1, |target| target.shards.len().max(1));
         let door = process.door(&self.query.service);
         let ask = Ask {
             caller: Arc::clone(&self.query.caller),
             priority: self.query.priority,
-            deadline,
+            deadline: under.deadline,
             cost: u32::try_from(cost).unwrap_or(u32::MAX),
         };
         let pass = door.enter(ask).await.map_err(|refusal| self.not_admitted(refusal))?;
@@ -201,19 +231,19 @@
             node: process.incarnation,
             request: self.number,
             now,
-            deadline,
-            service,
-            policy: &policy,
+            deadline: under.deadline,
+            service: under.service,
+            policy: under.rules,
         };
-        let plan = plan::plan(&frame, &self.query, targets);
-        let budget = process.budget(&service.policy, &policy);
+        let plan = plan::plan(&frame, &self.query, under.targets);
+        let budget = process.budget(under.policy, under.rules);
         budget.set_overloaded(door.with(|gate| gate.overloaded(now)));
         let job = Job {
             machine: Machine::new(plan),
             service: Arc::clone(&self.query.service),
             priority: self.query.priority,
             body: Bytes::from(self.query.body.to_string()),
-            chooser: Box::new(process.chooser(&self.query.service, &policy)),
+            chooser: Box::new(process.chooser(&self.query.service, under.rules)),
             budget: Box::new(budget) as Box<dyn Budget>,
             claim,
             recorder: process.traces.is_on().then(Recorder::new),
@@ -279,6 +309,33 @@
     }
 }
 
+/// What a request runs under, all from one catalog.
+struct Under<'a> {
+    service: &'a Service,
+    /// The policy's name.
+    policy: &'a Arc<str>,
+    /// What the policy says.
+    rules: &'a Policy,
+    targets: Vec<Target>,
+    deadline: Time,
+}
+
+/// What an experiment counts of a request.
+fn sample(last: &Last, took: Duration, asked: usize) -> Sample {
+    let latency_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+    let asked = u32::try_from(asked).unwrap_or(u32::MAX);
+    match last {
+        Ok(answer) => Sample {
+            latency_us,
+            asked: (answer.covered.len() + answer.missing.len()) as u32,
+            covered: answer.covered.len() as u32,
+            sends: answer.sends,
+            refused: false,
+        },
+        Err(_) => Sample { latency_us, asked, covered: 0, sends: 0, refused: true },
+    }
+}
+
 fn unpack(last: Stored) -> Last {
     match last {
         Stored::Answer(answer) => Ok(Arc::unwrap_or_clone(answer)),
