--- a/crates/version/route/tests/load_targets.rs
+++ b/crates/version/route/tests/load_targets.rs
@@ -78,6 +78,26 @@
     assert!(with * 3 < without * 2, "{with:?} against {without:?}");
 }
 
+/// The p99 over three seeds, and the extra sends.
+fn pooled(fault: Fault, hedge: Hedge) -> (Duration, f64) {
+    let case = Case { fault, hedge, seconds: 8, ..Case::default() };
+    let runs = [1, 2, 3].map(|seed| sim::run(&case, seed));
+    let mut latencies: Vec<Duration> = runs.iter().flat_map(|run| run.latencies.clone()).collect();
+    latencies.sort_unstable();
+    let sends: u64 = runs.iter().map(|run| run.sends).sum();
+    let needed: u64 = runs.iter().map(|run| run.needed).sum();
+    (p99(&latencies), sends as f64 / needed as f64 - 1.0)
+}
+
+#[test]
+fn a_larger_burst_at_the_same_share_meets_the_tail_target() {
+    let hedge = Hedge { percent: 96.0, burst: 100, ..Hedge::default() };
+    let (healthy, _) = pooled(Fault::None, hedge);
+    let (straggling, extra) = pooled(Fault::Stragglers(10), hedge);
+    assert!(straggling * 2 <= healthy * 3, "{straggling:?} against {healthy:?}");
+    assert!(extra <= 0.05, "{extra}");
+}
+
 #[test]
 fn the_default_choice_beats_chance_where_a_server_is_slow() {
     let case = |choice| Case { choice, fault: Fault::SlowServer, ..Case::default() };
