--- /dev/null
+++ b/crates/process/peer/tests/mesh_loopback.rs
@@ -0,0 +1,229 @@
+//! Meshes over real connections on loopback. Every wait is for a condition, with
+//! a limit that only a fault reaches.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use conf::catalog::Catalog;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use peer::drain;
+use peer::link::Acted;
+use peer::link::Host;
+use peer::mesh::ForwardError;
+use peer::mesh::Mesh;
+use peer::mesh::Route;
+use peer::mesh::Settings;
+use peer::record::Addresses;
+use peer::record::Leave;
+use peer::spread::Mark;
+use wire::caller::Cause;
+use wire::caller::Outcome;
+use wire::caller::Priority;
+use wire::caller::Query;
+use wire::caller::Refusal;
+use wire::id::Incarnation;
+
+const LIMIT: Duration = Duration::from_secs(30);
+const LOOK: Duration = Duration::from_millis(5);
+
+#[derive(Default)]
+struct Node {
+    name: String,
+    catalog: Mutex<Arc<Catalog>>,
+    taken: Mutex<Vec<Vec<u8>>>,
+    running: AtomicUsize,
+    closed: AtomicUsize,
+}
+
+fn refusal(from: &str) -> Acted {
+    let (request, message) = (Arc::from(from), String::new());
+    let (outcome, cause) = (Outcome::Unknown, Cause::LostReply);
+    Acted::Refusal(Refusal { request, outcome, cause, message, retry_after_ms: None })
+}
+
+impl Host for Node {
+    fn catalog(&self) -> Arc<Catalog> {
+        self.catalog.lock().clone()
+    }
+
+    fn offer(&self, objects: Vec<Object>) {
+        let mut catalog = self.catalog.lock();
+        let (next, _) = catalog.with_objects(&objects);
+        *catalog = Arc::new(next);
+    }
+
+    fn marks(&self, _: Vec<Mark>) {}
+
+    fn act(&self, _: Query) -> BoxFuture<'static, Acted> {
+        let acted = refusal(&self.name);
+        async move { acted }.boxed()
+    }
+
+    fn take_over(&self, tickets: Vec<u8>) -> bool {
+        self.taken.lock().push(tickets);
+        true
+    }
+
+    fn tallies(&self) -> Vec<u8> {
+        self.name.clone().into_bytes()
+    }
+}
+
+impl drain::Host for Node {
+    fn running(&self) -> usize {
+        self.running.load(Ordering::SeqCst)
+    }
+
+    fn close_idle(&self) {
+        self.closed.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn seal(&self) -> Vec<u8> {
+        b"sealed".to_vec()
+    }
+}
+
+async fn start(
+    number: u64,
+    seeds: Vec<SocketAddr>,
+    stop: &CancellationToken,
+) -> (Arc<Node>, Arc<Mesh>) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let caller = SocketAddr::from(([127, 0, 0, 1], 100 + number as u16));
+    let addresses = Addresses { caller, peer: any, operator: any };
+    let name = format!("node-{number}");
+    let incarnation = Incarnation(number);
+    let mut settings =
+        Settings::new(name.as_str().into(), incarnation, addresses, "dc".into(), "region".into())
+            .with_seeds(seeds);
+    settings.stop.keep = Duration::from_millis(200);
+    settings.fresh.outage = Duration::from_millis(100);
+    let node = Arc::new(Node { name, ..Node::default() });
+    let mesh = Mesh::start(settings, node.clone(), stop.clone()).await.expect("port 0 is free");
+    (node, mesh)
+}
+
+async fn three(stop: &CancellationToken) -> Vec<(Arc<Node>, Arc<Mesh>)> {
+    let mut nodes = vec![start(1, Vec::new(), stop).await];
+    let seed = nodes[0].1.peer_address();
+    nodes.push(start(2, vec![seed], stop).await);
+    nodes.push(start(3, vec![seed], stop).await);
+    nodes[0].1.set_fresh(true);
+    nodes
+}
+
+async fn until(what: &str, done: impl Fn() -> bool) {
+    let waited = async {
+        while !done() {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    assert!(tokio::time::timeout(LIMIT, waited).await.is_ok(), "{what}");
+}
+
+fn tombstone(revision: u64) -> Object {
+    Object { key: Key { kind: Kind::Map, name: "m".into() }, revision, spec: None }
+}
+
+fn query() -> Query {
+    Query {
+        service: "s".into(),
+        caller: "c".into(),
+        priority: Priority::Routine,
+        deadline_ms: None,
+        ticket: None,
+        non_idempotent: true,
+        shards: None,
+        min_version: None,
+        body: serde_json::json!({"a": [1, null, "x"]}),
+    }
+}
+
+fn all_named(nodes: &[(Arc<Node>, Arc<Mesh>)]) -> bool {
+    nodes.iter().all(|(_, mesh)| mesh.lookup(None).entries.len() == nodes.len())
+}
+
+#[tokio::test]
+async fn news_reach_all_and_tickets_find_their_minter() {
+    let stop = CancellationToken::new();
+    let nodes = three(&stop).await;
+    until("all become fresh from their peers and are named", || all_named(&nodes)).await;
+
+    nodes[1].1.push(vec![tombstone(7)]);
+    nodes[2].1.mark("server".into(), Incarnation(5));
+    until("the object is everywhere", || {
+        nodes.iter().all(|(node, _)| node.catalog().revision() == 7)
+    })
+    .await;
+    until("the mark is everywhere", || {
+        nodes.iter().all(|(_, mesh)| mesh.is_leaving("server", Incarnation(5)))
+    })
+    .await;
+
+    let acted = nodes[0].1.forward(Incarnation(3), query()).await;
+    assert_eq!(acted, Ok(refusal("node-3")));
+    let nowhere = nodes[0].1.forward(Incarnation(99), query()).await;
+    assert_eq!(nowhere, Err(ForwardError::Gone));
+    assert_eq!(nodes[0].1.route(Incarnation(1)), Route::Own);
+    let tallies = nodes[0].1.collect_tallies().await;
+    let mut bytes: Vec<Option<Vec<u8>>> = tallies.into_iter().map(|tally| tally.bytes).collect();
+    bytes.sort();
+    let wanted = ["node-1", "node-2", "node-3"].map(|name| Some(name.as_bytes().to_vec()));
+    assert_eq!(bytes, wanted);
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn stop_names_no_more_waits_and_hands_over() {
+    let stop = CancellationToken::new();
+    let nodes = three(&stop).await;
+    until("all are named", || all_named(&nodes)).await;
+    let (node, mesh) = nodes[2].clone();
+    node.running.store(1, Ordering::SeqCst);
+    let stopping = tokio::spawn({
+        let (node, mesh) = (node.clone(), mesh.clone());
+        async move { drain::run(&mesh, &*node).await }
+    });
+    until("peers name it no more", || {
+        nodes[..2].iter().all(|(_, mesh)| mesh.lookup(None).entries.len() == 2)
+    })
+    .await;
+    until("idle connections are closed", || node.closed.load(Ordering::SeqCst) > 0).await;
+    assert!(!stopping.is_finished(), "a request is in progress");
+    assert!(nodes[0].0.taken.lock().is_empty());
+    node.running.store(0, Ordering::SeqCst);
+    assert!(tokio::time::timeout(LIMIT, stopping).await.is_ok(), "it ends");
+    let own = &mesh.members()[0];
+    assert_eq!(own.leave, Leave::Going);
+    let (taker, other) = if nodes[0].0.taken.lock().is_empty() { (1, 0) } else { (0, 1) };
+    assert_eq!(*nodes[taker].0.taken.lock(), [b"sealed".to_vec()]);
+    assert_eq!(nodes[taker].1.route(Incarnation(3)), Route::Own);
+    assert!(nodes[other].0.taken.lock().is_empty());
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn silent_connection_is_replaced() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("port 0 is free");
+    let seed = silent.local_addr().expect("bound");
+    let stop = CancellationToken::new();
+    let (_node, mesh) = start(1, vec![seed], &stop).await;
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        let accepted = tokio::time::timeout(LIMIT, silent.accept()).await;
+        held.push(accepted.expect("a silent connection is not used for ever"));
+    }
+    assert!(mesh.counters().failed >= 1);
+    stop.cancel();
+}
