peer: both sides of a healed cut refute at once

Cause: a node that was probed by one that it held dead didn't tell it so, and went on holding it dead until its own turn. The answer to a probe now carries what is thought of the asker. Seen failing with opinions not told: halves_that_lost_each_other_find_together.

--- a/crates/process/peer/src/mesh.rs
+++ b/crates/process/peer/src/mesh.rs
@@ -183,9 +183,13 @@
             u32::try_from(self.settings.stop.keep.as_millis()).unwrap_or(u32::MAX);
         let mut table = self.table.lock();
         table.merge(probe.opinions, now);
+        let peer = probe.from.peer;
         table.merge(vec![probe.from], now);
         log_changes(&table.merge(probe.rumors, now));
-        Ack { record: table.own().clone(), rumors: table.rumors(), longest_keep_ms }
+        // Both sides must refute after they lost each other.
+        let mut rumors = table.opinions(peer);
+        rumors.extend(table.rumors());
+        Ack { record: table.own().clone(), rumors, longest_keep_ms }
     }
 
     pub(crate) async fn probe_with(&self, peer: SocketAddr, probe: Probe) -> Result<Ack, Failed> {
--- a/crates/process/peer/tests/member_faults.rs
+++ b/crates/process/peer/tests/member_faults.rs
@@ -43,6 +43,8 @@
     tables: Vec<Table>,
     faults: Vec<Fault>,
     probes: BTreeMap<usize, u32>,
+    /// The first half and the second are cut from each other.
+    split: bool,
     now: Time,
 }
 
@@ -67,7 +69,7 @@
             tables.push(table);
         }
         let (faults, probes) = (vec![Fault::None; NODES], BTreeMap::new());
-        Self { tables, faults, probes, now: Time::ZERO }
+        Self { tables, faults, probes, split: false, now: Time::ZERO }
     }
 
     fn runs(&self, node: usize) -> bool {
@@ -76,7 +78,8 @@
 
     fn passes(&self, from: usize, to: usize) -> bool {
         let pair = |a: usize, b: usize| self.faults[a] == Fault::Pair && b == (a + 1) % NODES;
-        let cut = pair(from, to) || pair(to, from);
+        let halves = self.split && (from < NODES / 2) != (to < NODES / 2);
+        let cut = pair(from, to) || pair(to, from) || halves;
         let lost = self.faults[from] == Fault::Mute || self.faults[to] == Fault::Deaf;
         self.runs(from) && self.runs(to) && !cut && !lost
     }
@@ -95,7 +98,9 @@
             return false;
         }
         let answer = self.tables[to].own().clone();
-        let rumors = self.tables[to].rumors();
+        let asker = self.tables[from].own().peer;
+        let mut rumors = self.tables[to].opinions(asker);
+        rumors.extend(self.tables[to].rumors());
         self.tables[from].acked(Incarnation(to as u64), answer, self.now);
         self.tables[from].merge(rumors, self.now);
         true
@@ -184,6 +189,28 @@
     }
 }
 
+#[test]
+fn halves_that_lost_each_other_find_together() {
+    let mut net = Net::new(1);
+    net.split = true;
+    (0..SETTLED).for_each(|_| net.period());
+    assert!(net.states(0).contains(&State::Dead));
+    net.split = false;
+    for node in 0..NODES {
+        // The joining loop tries the addresses of dead members, too.
+        let dead = |r: &&Record| r.state == State::Dead;
+        let dead: Vec<u64> =
+            net.tables[node].others().filter(dead).map(|r| r.incarnation.0).collect();
+        for other in dead {
+            net.probe(node, other as usize);
+        }
+    }
+    (0..SETTLED).for_each(|_| net.period());
+    for node in 0..NODES {
+        assert!(net.states(node).iter().all(|s| *s == State::Alive), "{:?}", net.states(node));
+    }
+}
+
 #[test]
 fn each_node_probes_once_a_period() {
     let mut net = Net::new(1);
