--- a/crates/connection/pool/src/connect.rs
+++ b/crates/connection/pool/src/connect.rs
@@ -48,7 +48,7 @@
                     shared.release(server, id, link);
                 }
                 hold(wire, stop).await;
-                shared.close(server, id);
+                shared.ended(server, id);
                 sleep(shared.settings.settle).await;
                 shared.free(server, id);
             }
@@ -73,7 +73,8 @@
     }
 }
 
-fn start_probe(shared: Arc<Shared>, target: Target, id: Connection, link: Link) {
+/// Asks for the server's health over a connection that is at hand.
+pub(crate) fn start_probe(shared: Arc<Shared>, target: Target, id: Connection, link: Link) {
     tokio::spawn(async move {
         let sent = shared.now();
         let limit = shared.settings.connect_timeout;
--- a/crates/request/query/src/attempt.rs
+++ b/crates/request/query/src/attempt.rs
@@ -38,17 +38,20 @@
 
     /// Chooses a server for the slot among those not tried, if there is one.
     pub(crate) fn choose(
-        &self,
+        &mut self,
         now: Time,
         index: u32,
         context: &mut Context<'_>,
     ) -> Result<(Server, bool), Reason> {
         let shard = self.slots[index as usize].shard;
-        context.tried.clear();
-        context.tried.extend(self.attempts(index).map(|entry| entry.server));
+        let mut tried = std::mem::take(&mut self.tried);
+        tried.clear();
+        tried.extend(self.attempts(index).map(|entry| entry.server));
         let snapshot = &self.plan.targets[self.target].snapshot;
-        let server = context.chooser.choose(now, snapshot, shard, &context.tried)?;
-        Ok((server, !context.tried.contains(&server)))
+        let choice = context.chooser.choose(now, snapshot, shard, &tried);
+        let choice = choice.map(|server| (server, !tried.contains(&server)));
+        self.tried = tried;
+        choice
     }
 
     /// Makes an attempt for a slot without a live one, now or after a pause.
@@ -82,15 +85,15 @@
         self.issue(now, index, server, context);
     }
 
-    /// Whether the slot has had all its attempts. Those that were never sent added
-    /// no load and don't count for as long as the slot may be waited for.
+    /// Whether the slot has had all its attempts. Those that did not run don't
+    /// count for as long as the slot may be waited for.
     pub(crate) fn is_spent(&mut self, now: Time, index: u32) -> bool {
         let most = self.plan.settings.attempts;
         if self.slots[index as usize].attempts < most {
             return false;
         }
-        let sent = self.attempts(index).filter(|entry| entry.phase != Phase::NotSent).count();
-        sent >= most as usize || !self.may_wait(now, index)
+        let ran = self.attempts(index).filter(|entry| entry.phase.may_have_run()).count();
+        ran >= most as usize || !self.may_wait(now, index)
     }
 
     /// The slot's attempts, newest first.
