--- a/crates/connection/pool/src/error.rs
+++ b/crates/connection/pool/src/error.rs
@@ -28,6 +28,19 @@
     Unknown(Lost),
 }
 
+impl Error {
+    /// Whether the end speaks against the server: it could not be connected to,
+    /// or it left a request without a usable reply. A refusal does not, nor does
+    /// what kept the request here.
+    pub fn is_fault(&self) -> bool {
+        match self {
+            Self::NotSent(unsent) => *unsent == Unsent::Connect,
+            Self::Refused { .. } => false,
+            Self::Unknown(_) => true,
+        }
+    }
+}
+
 /// Why nothing was sent.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Unsent {
--- a/crates/connection/pool/src/silence.rs
+++ b/crates/connection/pool/src/silence.rs
@@ -39,8 +39,8 @@
         Self {
             later_replies: 3,
             factor: 3,
-            least: Duration::from_millis(40),
-            alone: Duration::from_millis(100),
+            least: Duration::from_millis(100),
+            alone: Duration::from_millis(250),
         }
     }
 }
--- a/crates/connection/pool/tests/send_outcome.rs
+++ b/crates/connection/pool/tests/send_outcome.rs
@@ -68,6 +68,7 @@
     let target = pool::request::Target { address, ..stub.target(1) };
     let error = pool().send(&target, &request(1)).await.unwrap_err();
     assert_eq!(error, Error::NotSent(Unsent::Connect));
+    assert!(error.is_fault(), "it speaks against the server");
 }
 
 #[tokio::test]
@@ -94,6 +95,7 @@
     let pool = Pool::new(settings, Arc::new(pool::process::Open));
     let error = pool.send(&stub.target(1), &request(1)).await.unwrap_err();
     assert_eq!(error, Error::NotSent(Unsent::Full));
+    assert!(!error.is_fault(), "it speaks of this node");
 }
 
 #[tokio::test]
