--- /dev/null
+++ b/crates/process/rpc/tests/status_details.rs
@@ -0,0 +1,51 @@
+//! A failure comes back from its status as it was.
+
+use tonic::Code;
+use tonic::Status;
+
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Policy;
+use conf::object::Spec;
+use conf::verify::Finding;
+use rpc::failure::Failure;
+
+fn object(spec: Option<Spec>) -> Object {
+    Object { key: Key { kind: Kind::Policy, name: "steady".into() }, revision: 7, spec }
+}
+
+#[test]
+fn there_and_back() {
+    let policy = Spec::Policy(Policy::default());
+    let cases = [
+        (
+            Failure::Invalid(vec![Finding::new("a[0].b", "bad"), Finding::new("", "worse")]),
+            Code::InvalidArgument,
+        ),
+        (Failure::Conflict(Some(object(Some(policy)))), Code::Aborted),
+        (Failure::Conflict(Some(object(None))), Code::Aborted),
+        (Failure::Conflict(None), Code::Aborted),
+        (Failure::NotFound("x".to_string()), Code::NotFound),
+        (
+            Failure::Unavailable { message: "x".to_string(), retry_after_ms: Some(5) },
+            Code::Unavailable,
+        ),
+        (Failure::Unknown { message: "x".to_string(), operation: "y".to_string() }, Code::Unknown),
+        (Failure::Unsupported("x".to_string()), Code::Unimplemented),
+    ];
+    for (failure, code) in cases {
+        let status = Status::from(failure.clone());
+        assert_eq!(status.code(), code);
+        assert_eq!(Failure::from(&status), failure);
+    }
+}
+
+#[test]
+fn without_details() {
+    // The transport gives this code also after a call was sent.
+    let broken = Failure::from(&Status::unavailable("connection reset"));
+    assert!(matches!(broken, Failure::Unknown { .. }), "{broken}");
+    let foreign = Failure::from(&Status::with_details(Code::Internal, "x", vec![255, 1].into()));
+    assert!(matches!(foreign, Failure::Unknown { .. }), "{foreign}");
+}
