rpc: a stage change is checked against the state that it was read from

A node's catalog may lag behind the platform, so its own check could let a concluded experiment be started again for a moment. Seen failing: with the check off, racing_operators::stages.

--- a/crates/process/rpc/src/service.rs
+++ b/crates/process/rpc/src/service.rs
@@ -75,7 +75,13 @@
         let Object { revision, spec: Some(Spec::Experiment(mut experiment)), .. } = object else {
             return Err(Failure::NotFound(key.to_string()).into());
         };
+        let from = experiment.stage;
         change(&mut experiment);
+        // The backend's own check may go by an older state than the one just read.
+        if !from.may_become(experiment.stage) {
+            let (from, to) = (from.as_str(), experiment.stage.as_str());
+            return Err(Failure::invalid("stage", format!("can't go from {from} to {to}")).into());
+        }
         let spec = Some(Spec::Experiment(experiment));
         self.write(Write { operation, key, expected: Expected::Revision(revision), spec }).await
     }
--- a/crates/version/conf/src/object.rs
+++ b/crates/version/conf/src/object.rs
@@ -306,6 +306,17 @@
             Self::Concluded => "concluded",
         }
     }
+
+    /// Whether an experiment at this stage may go to `next` or stay there; a new
+    /// one comes from `Draft`.
+    pub fn may_become(self, next: Self) -> bool {
+        match self {
+            Self::Draft => matches!(next, Self::Draft | Self::Running),
+            Self::Running => matches!(next, Self::Running | Self::Stopped | Self::Concluded),
+            Self::Stopped => matches!(next, Self::Stopped | Self::Running | Self::Concluded),
+            Self::Concluded => false,
+        }
+    }
 }
 
 /// An experiment that compares policies on one service.
