--- a/crates/process/peer/src/mesh.rs
+++ b/crates/process/peer/src/mesh.rs
@@ -183,9 +183,13 @@
             u32::try_from(self.settings.stop.keep.as_millis()).unwrap_or(u32::MAX);
         let mut table = self.table.lock();
         table.merge(probe.opinions, now);
+        let peer = probe.from.peer;
         table.merge(vec![probe.from], now);
         log_changes(&table.merge(probe.rumors, now));
-        Ack { record: table.own().clone(), rumors: table.rumors(), longest_keep_ms }
+        // Both sides must refute after they lost each other.
+        let mut rumors = table.opinions(peer);
+        rumors.extend(table.rumors());
+        Ack { record: table.own().clone(), rumors, longest_keep_ms }
     }
 
     pub(crate) async fn probe_with(&self, peer: SocketAddr, probe: Probe) -> Result<Ack, Failed> {
@@ -504,16 +508,14 @@
         let spread = self.core.spread.lock();
         let (root, objects, marks) = (spread.root(), spread.len(), spread.marks(now));
         drop(spread);
-        Dump {
-            members: self.members(),
-            summaries: self.core.table.lock().summaries(),
-            root,
-            objects,
-            marks,
-            fresh: self.core.fresh.lock().to_string(),
-            phase: self.core.stop.lock().phase(),
-            watchers: self.watchers(),
-            counters: self.counters(),
-        }
+        // Each lock is let go before the next is taken: a guard that is made
+        // within the literal below would live until its end.
+        let members = self.members();
+        let summaries = self.core.table.lock().summaries();
+        let fresh = self.core.fresh.lock().to_string();
+        let phase = self.phase();
+        let watchers = self.watchers();
+        let counters = self.counters();
+        Dump { members, summaries, root, objects, marks, fresh, phase, watchers, counters }
     }
 }
