store: answers that waited through a pause aren't trusted; client against the stand-in

Cause: a node that wakes from a pause may find an old answer of its watch in the socket and claim to be fresh by it. Now such an answer makes it read all again.

--- a/crates/process/store/src/follow.rs
+++ b/crates/process/store/src/follow.rs
@@ -117,22 +117,24 @@
     }
 
     async fn list(&mut self) -> Result<(), Error> {
+        let asked = self.now();
         let mut lowest = u64::MAX;
         for kind in Kind::ALL {
             let listing = self.store.list(kind).await?;
             lowest = lowest.min(listing.revision);
             self.host.offer(listing.items.into_iter().map(|item| item.object).collect());
         }
-        if self.watch.listed(lowest, self.now()) {
+        if self.watch.listed(lowest, asked, self.now()) {
             self.host.synced(lowest);
         }
         Ok(())
     }
 
     async fn wait_for_changes(&mut self, since: u64) -> Result<(), Error> {
+        let asked = self.now();
         let changes = self.store.watch(since, self.watch.wait()).await?;
         self.host.offer(changes.items.into_iter().map(|item| item.object).collect());
-        if self.watch.received(changes.revision, self.now()) {
+        if self.watch.received(changes.revision, asked, self.now()) {
             self.host.synced(changes.revision);
         }
         Ok(())
--- a/crates/process/store/src/watch.rs
+++ b/crates/process/store/src/watch.rs
@@ -20,6 +20,8 @@
 pub struct Settings {
     /// How long one watch call waits for an event.
     pub wait: Duration,
+    /// How much longer an answer may take before it isn't trusted.
+    pub grace: Duration,
     /// How long a newer revision may be known before the watch brings it.
     pub lag: Duration,
     /// The time between check reads.
@@ -34,6 +36,7 @@
     fn default() -> Self {
         Self {
             wait: Duration::from_secs(2),
+            grace: Duration::from_secs(3),
             lag: Duration::from_millis(1000),
             check_every: Duration::from_secs(3),
             first_backoff: Duration::from_millis(100),
@@ -127,16 +130,24 @@
         }
     }
 
-    /// A watch call brought changes up to `revision`; false if they are stale.
-    pub fn received(&mut self, revision: u64, now: Time) -> bool {
+    /// A watch call made at `asked` brought changes up to `revision`; false if they
+    /// are stale, or if the answer may have waited while this process was paused.
+    pub fn received(&mut self, revision: u64, asked: Time, now: Time) -> bool {
         self.succeeded();
+        if now.since(asked) >= self.settings.wait + self.settings.grace {
+            self.stale += 1;
+            self.listed = false;
+            return false;
+        }
         self.advance(revision, now)
     }
 
-    /// All kinds were listed; `revision` is the lowest of the lists'.
-    pub fn listed(&mut self, revision: u64, now: Time) -> bool {
+    /// All kinds were listed from `asked` on; `revision` is the lowest of the
+    /// lists'. False if they are stale or may have waited through a pause.
+    pub fn listed(&mut self, revision: u64, asked: Time, now: Time) -> bool {
         self.succeeded();
-        if revision < self.since.max(self.heard) {
+        let late = now.since(asked) >= self.settings.wait + self.settings.grace;
+        if late || revision < self.since.max(self.heard) {
             // A stale list: go on with what is known and read again soon.
             self.stale += 1;
             self.paused_until = now + self.backoff.wait();
--- /dev/null
+++ b/crates/process/store/tests/platform_calls.rs
@@ -0,0 +1,160 @@
+//! The client against the stand-in of the platform, with its faults. Every wait
+//! is for a condition, with a limit that only a fault reaches.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use conf::object::Policy;
+use conf::object::Spec;
+use fakes::platform::Fault;
+use fakes::platform::Late;
+use fakes::platform::Lose;
+use fakes::platform::Outage;
+use fakes::platform::Platform;
+use store::api::Error;
+use store::api::Expected;
+use store::api::Store;
+use store::client::Client;
+use store::client::Settings;
+use store::follow;
+use store::watch;
+use store::write;
+use store::write::Outcome;
+use store::write::Request;
+use wire::platform::Vms;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn platform() -> (Platform, Arc<Client>) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = Platform::start(any).expect("port 0 is free");
+    let timeout = Duration::from_millis(1000);
+    let settings = Settings { timeout, calls_per_second: 1000.0, burst: 1000.0 };
+    let client = Client::new(vec![platform.address()], settings);
+    (platform, Arc::new(client))
+}
+
+fn request(expected: Expected, operation: &str) -> Request {
+    let key = Key { kind: Kind::Policy, name: "p".into() };
+    let spec = Some(Spec::Policy(Policy::default()));
+    Request { key, expected, spec, operation: operation.into() }
+}
+
+async fn write(client: &Client, request: Request) -> Outcome {
+    write::run(client, request, Duration::from_secs(10), 1).await
+}
+
+#[tokio::test]
+async fn lost_answers_are_read_back() {
+    let (platform, client) = platform();
+    for (turn, lose_by) in [Lose::Close, Lose::Hang].into_iter().enumerate() {
+        let lost = Fault { effect_without_answer: 1, lose_by, ..Fault::default() };
+        platform.set_fault(lost);
+        let present = client.get(&request(Expected::Absent, "").key).await.expect("answered");
+        let expected =
+            present.map_or(Expected::Absent, |stored| Expected::Revision(stored.object.revision));
+        let operation = format!("operation-{turn}");
+        let outcome = write(&client, request(expected, &operation)).await;
+        assert_eq!(outcome, Outcome::Accepted(turn as u64 + 1));
+    }
+    let outcome = write(&client, request(Expected::Absent, "late")).await;
+    let Outcome::Conflict(Some(winner)) = outcome else { panic!("{outcome}") };
+    assert_eq!(&*winner.operation, "operation-1");
+    assert_eq!(platform.stats().calls, client.counters().calls, "each call is counted");
+}
+
+#[tokio::test]
+async fn late_effect_never_runs_twice() {
+    let (platform, client) = platform();
+    let late = Some(Late { writes: 1, ms: 3000 });
+    platform.set_fault(Fault { late_effect: late, ..Fault::default() });
+    let outcome = write(&client, request(Expected::Absent, "a")).await;
+    assert_eq!(outcome, Outcome::Accepted(1));
+    let conflicts = async {
+        while platform.stats().conflicts == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(tokio::time::timeout(LIMIT, conflicts).await.is_ok(), "the late try is refused");
+    assert_eq!(platform.stats().revision, 1);
+}
+
+#[tokio::test]
+async fn outages_are_told_as_they_are() {
+    let (platform, client) = platform();
+    for outage in [Outage::Refuse, Outage::Close, Outage::Hang] {
+        platform.set_fault(Fault { outage: Some(outage), ..Fault::default() });
+        let short = Duration::from_millis(800);
+        let outcome = write::run(&*client, request(Expected::Absent, "a"), short, 1).await;
+        assert_eq!(outcome, Outcome::Unknown(None), "{outage:?}");
+    }
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let client = Client::new(vec![nowhere], Settings::default());
+    let outcome = write(&client, request(Expected::Absent, "a")).await;
+    let refused = matches!(outcome, Outcome::NotWritten(Error::NotSent(_)));
+    assert!(refused, "nothing listens there: {outcome}");
+}
+
+#[derive(Default)]
+struct Held {
+    highest: Mutex<u64>,
+}
+
+impl follow::Host for Held {
+    fn holds_watch(&self) -> bool {
+        true
+    }
+
+    fn heard(&self) -> u64 {
+        0
+    }
+
+    fn offer(&self, objects: Vec<Object>) {
+        let mut highest = self.highest.lock();
+        let revisions = objects.iter().map(|object| object.revision);
+        *highest = revisions.chain([*highest]).max().unwrap_or(0);
+    }
+
+    fn synced(&self, _: u64) {}
+
+    fn vms(&self, _: Vms) {}
+
+    fn failing(&self, _: Duration) {}
+}
+
+async fn reaches(held: &Held, revision: u64) -> bool {
+    let reached = async {
+        while *held.highest.lock() < revision {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, reached).await.is_ok()
+}
+
+#[tokio::test]
+async fn changes_arrive_though_the_watch_is_silent() {
+    let (platform, client) = platform();
+    let held = Arc::new(Held::default());
+    let stop = CancellationToken::new();
+    let settings = watch::Settings {
+        wait: Duration::from_millis(200),
+        check_every: Duration::from_millis(300),
+        lag: Duration::from_millis(100),
+        ..watch::Settings::default()
+    };
+    tokio::spawn(follow::run(client.clone(), held.clone(), settings, 1, stop.clone()));
+    assert_eq!(write(&client, request(Expected::Absent, "a")).await, Outcome::Accepted(1));
+    assert!(reaches(&held, 1).await, "by the watch");
+    platform.set_fault(Fault { silent_watch: true, ..Fault::default() });
+    let changed = write(&client, request(Expected::Revision(1), "b")).await;
+    assert_eq!(changed, Outcome::Accepted(2));
+    assert!(reaches(&held, 2).await, "in spite of the silent watch");
+    stop.cancel();
+}
--- a/crates/process/store/tests/watch_follows.rs
+++ b/crates/process/store/tests/watch_follows.rs
@@ -23,15 +23,15 @@
     let mut watch = Watch::new(Settings::default(), 1);
     let now = Time::from_millis(ms);
     assert_eq!(watch.next(now), Action::List);
-    assert!(watch.listed(revision, now));
+    assert!(watch.listed(revision, now, now));
     watch
 }
 
 #[test]
 fn stale_answers_never_move_it_back() {
     let mut watch = listed(0, 10);
-    assert!(watch.received(12, Time::from_millis(1)));
-    assert!(!watch.received(11, Time::from_millis(2)));
+    assert!(watch.received(12, Time::from_millis(1), Time::from_millis(1)));
+    assert!(!watch.received(11, Time::from_millis(2), Time::from_millis(2)));
     assert_eq!(watch.since(), 12);
     assert_eq!(watch.next(Time::from_millis(3)), Action::Watch(12));
 }
@@ -41,9 +41,12 @@
     let mut watch = listed(0, 10);
     watch.heard(11, Time::from_millis(5));
     assert_eq!(watch.next(Time::from_millis(500)), Action::Watch(10));
-    assert!(watch.received(10, Time::from_millis(900)));
+    assert!(watch.received(10, Time::from_millis(900), Time::from_millis(900)));
     assert_eq!(watch.next(Time::from_millis(1005)), Action::List);
-    assert!(!watch.listed(10, Time::from_millis(1010)), "a list behind what peers know is stale");
+    assert!(
+        !watch.listed(10, Time::from_millis(1010), Time::from_millis(1010)),
+        "a list behind what peers know is stale"
+    );
     assert_eq!(watch.replaced(), 1);
 }
 
@@ -55,6 +58,16 @@
     assert_eq!(watch.next(Time::from_millis(4001)), Action::List);
 }
 
+#[test]
+fn answer_that_waited_through_a_pause_is_not_trusted() {
+    let mut watch = listed(0, 10);
+    let (asked, woke) = (Time::from_millis(10), Time::from_millis(60_000));
+    assert!(!watch.received(10, asked, woke));
+    assert_eq!(watch.next(woke), Action::List);
+    assert!(!watch.listed(10, asked, woke));
+    assert_ne!(watch.next(woke), Action::Watch(10));
+}
+
 /// One step of the shell, against a platform with faults.
 fn step(watch: &mut Watch, platform: &Platform, now: Time) -> Time {
     let shown =
@@ -64,15 +77,15 @@
         Action::Wait(until) => return until,
         _ if platform.down => watch.failed(now),
         Action::List => {
-            watch.listed(shown, now);
+            watch.listed(shown, now, now);
         }
         Action::Check => watch.checked(shown, now),
         Action::Watch(since) if platform.silent || platform.revision <= since => {
-            watch.received(since, now + watch.wait());
+            watch.received(since, now, now + watch.wait());
             return now + watch.wait();
         }
         Action::Watch(_) => {
-            watch.received(shown, now);
+            watch.received(shown, now, now);
         }
     }
     next
