--- a/crates/process/peer/examples/slopes.rs
+++ b/crates/process/peer/examples/slopes.rs
@@ -5,7 +5,8 @@
 //! Prints one row: times in milliseconds, messages and bytes a node and second,
 //! processor time a node in percent of a core, memory a node in KB.
 //!
-//! `cargo run --release -p peer --example slopes -- NODES OBJECTS`
+//! `cargo run --release -p peer --example slopes -- NODES OBJECTS [SETTLE]`; SETTLE
+//! is the time before the quiet deployment is measured, in seconds.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -202,6 +203,7 @@
     let arguments: Vec<usize> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
     let count = arguments.first().copied().unwrap_or(6);
     let objects = arguments.get(1).copied().unwrap_or(100) as u64;
+    let settle = Duration::from_secs(arguments.get(2).copied().unwrap_or(5) as u64);
     let stop = CancellationToken::new();
     let empty = memory_kb();
     let fleet = Fleet::start(count, &stop).await?;
@@ -213,7 +215,7 @@
     let filled = until("fill", || fleet.hold(objects)).await;
     let fresh = || fleet.meshes.iter().all(|mesh| mesh.members()[0].fresh);
     until("fresh", fresh).await;
-    tokio::time::sleep(QUIET / 2).await;
+    tokio::time::sleep(settle).await;
 
     let gauge = Gauge::new(&fleet);
     tokio::time::sleep(QUIET).await;
--- /dev/null
+++ b/crates/process/peer/tests/join_faults.rs
@@ -0,0 +1,151 @@
+//! A node joins while the platform and its peers fail, in pairs of faults.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+use base::time::Time;
+use conf::catalog::Catalog;
+use conf::object::Key;
+use conf::object::Kind;
+use conf::object::Object;
+use peer::fresh::Fresh;
+use peer::fresh::Settings;
+use wire::id::Incarnation;
+
+const OBJECTS: u64 = 5;
+const PEERS: u64 = 4;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Platform {
+    Up,
+    Slow,
+    Down,
+    /// Answers now and then; each list is whole or not at all.
+    Flaky,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Peer {
+    Fresh,
+    /// Holds old copies and doesn't know it is behind; not fresh.
+    Stale,
+    /// Answers only at times.
+    Flaky,
+    Frozen,
+}
+
+const PLATFORMS: [Platform; 4] = [Platform::Up, Platform::Slow, Platform::Down, Platform::Flaky];
+const ALL: [Peer; 4] = [Peer::Fresh, Peer::Stale, Peer::Flaky, Peer::Frozen];
+
+fn object(number: u64, revision: u64) -> Object {
+    let key = Key { kind: Kind::Policy, name: format!("p{number}").into() };
+    Object { key, revision, spec: None }
+}
+
+/// What was accepted, up to `revision`: the objects change in turn.
+fn accepted(revision: u64) -> Catalog {
+    let all: Vec<Object> = (1..=revision).map(|r| object(r % OBJECTS, r)).collect();
+    Catalog::new().with_objects(&all).0
+}
+
+fn objects(catalog: &Catalog) -> Vec<Object> {
+    catalog.iter().map(|object| Object::clone(object)).collect()
+}
+
+/// Joins and returns what the node held when it became fresh, and when.
+fn join(platform: Platform, peers: &[(Peer, Catalog)], seed: u64) -> Option<(Catalog, Time)> {
+    let truth = accepted(50);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut held = Catalog::new();
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    let up: Vec<Incarnation> = (0..peers.len() as u64).map(Incarnation).collect();
+    for step in 1..400 {
+        let now = Time::from_millis(step * 100);
+        let answers = match platform {
+            Platform::Up => true,
+            Platform::Slow => step > 60,
+            Platform::Down => false,
+            Platform::Flaky => random.random_bool(0.02),
+        };
+        if answers {
+            held = held.with_objects(&objects(&truth)).0;
+            fresh.platform_synced();
+        }
+        fresh.peers(&up);
+        let mut due = fresh.due();
+        due.shuffle(&mut random);
+        // Comparing takes a while, so that the outage is noticed in the middle of it.
+        let compared = usize::from(random.random_bool(0.1));
+        for peer in due.into_iter().take(compared) {
+            let (kind, catalog) = &peers[peer.0 as usize];
+            let reached = match kind {
+                Peer::Fresh | Peer::Stale => true,
+                Peer::Flaky => random.random_bool(0.2),
+                Peer::Frozen => false,
+            };
+            if reached {
+                held = held.with_objects(&objects(catalog)).0;
+                fresh.compared(peer, *kind != Peer::Stale);
+            } else {
+                fresh.failed(peer);
+            }
+        }
+        if fresh.is_fresh(now) {
+            return Some((held, now));
+        }
+    }
+    None
+}
+
+#[test]
+fn fresh_means_the_highest_that_could_be_reached() {
+    for platform in PLATFORMS {
+        for first in ALL {
+            for second in ALL {
+                for seed in 0..20 {
+                    let mut random = ChaCha8Rng::seed_from_u64(seed);
+                    let kinds = [first, second, *ALL.choose(&mut random).expect("not empty")];
+                    let of = |kind: &Peer| match kind {
+                        Peer::Stale => accepted(random.random_range(0..40)),
+                        _ => accepted(random.random_range(45..=50)),
+                    };
+                    let catalogs: Vec<Catalog> = kinds.iter().map(of).collect();
+                    let peers: Vec<(Peer, Catalog)> = kinds.into_iter().zip(catalogs).collect();
+                    let what = format!("{platform:?} {peers:?} seed {seed}");
+                    let joined = join(platform, &peers, seed);
+                    let sure = peers.iter().filter(|(kind, _)| *kind == Peer::Fresh);
+                    let highest = sure.clone().map(|(_, catalog)| catalog.revision()).max();
+                    match joined {
+                        Some((held, _)) => {
+                            let least = highest.unwrap_or(45);
+                            assert!(held.revision() >= least, "{what}: {}", held.revision());
+                        }
+                        None => assert!(highest.is_none() && platform != Platform::Up, "{what}"),
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn many_stale_peers_never_add_up_to_a_fresh_one() {
+    for seed in 0..20 {
+        let stale: Vec<(Peer, Catalog)> =
+            (0..PEERS).map(|peer| (Peer::Stale, accepted(peer))).collect();
+        assert!(join(Platform::Down, &stale, seed).is_none());
+    }
+}
+
+#[test]
+fn a_platform_that_answers_goes_before_waiting_for_peers() {
+    let frozen = vec![(Peer::Frozen, Catalog::new()); 3];
+    let (held, when) = join(Platform::Up, &frozen, 1).expect("the platform is enough");
+    assert_eq!(held.revision(), 50);
+    assert!(when.since(Time::ZERO) < Duration::from_secs(1));
+}
