--- a/crates/version/route/examples/compare/main.rs
+++ b/crates/version/route/examples/compare/main.rs
@@ -3,6 +3,7 @@
 //! Run with `cargo run --release -p route --example compare -- [SECONDS]`. Same
 //! seeds, same figures: nothing depends on the machine.
 
+mod attempt;
 mod model;
 mod node;
 mod report;
--- a/crates/version/route/examples/compare/sim.rs
+++ b/crates/version/route/examples/compare/sim.rs
@@ -16,14 +16,8 @@
 use crate::model::Case;
 use crate::model::DEADLINE;
 use crate::model::GROUPS;
-use crate::model::LEAST_US;
 use crate::model::NODES;
-use crate::model::REOPEN;
 use crate::model::REPLICAS;
-use crate::model::SHED;
-use crate::model::SLOTS;
-use crate::model::SPREAD_US;
-use crate::model::STRAGGLE;
 use crate::model::Server;
 use crate::model::URGENT;
 use crate::node;
@@ -32,24 +26,16 @@
 use admit::ask::Action;
 use admit::ask::Ask;
 use admit::ask::Id;
-use admit::ask::Outcome;
 use admit::ask::Verdict;
-use base::entity;
-use base::entity::Shard;
 use base::time::Time;
-use route::observation::Observation;
 use wire::caller::Priority;
 use wire::id::Snapshot;
-use wire::upstream::Report;
-use wire::upstream::State;
 
 /// Virtual time before figures are taken.
 const WARM_UP: Duration = Duration::from_secs(2);
-/// The most attempts of one shard.
-const ATTEMPTS: usize = 3;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub enum Event {
     Arrive,
     /// An attempt reaches its server.
     Reach(usize),
@@ -66,56 +52,56 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
+pub enum Stage {
     Queued,
     Sent,
     Ended,
 }
 
-struct Attempt {
-    query: usize,
-    shard: u32,
-    node: usize,
-    server: usize,
-    sent: Time,
-    stage: Stage,
+pub struct Attempt {
+    pub query: usize,
+    pub shard: u32,
+    pub node: usize,
+    pub server: usize,
+    pub sent: Time,
+    pub stage: Stage,
     /// The server works on it or has it in its line.
-    there: bool,
-    load: u32,
+    pub there: bool,
+    pub load: u32,
 }
 
 #[derive(Default, Clone)]
-struct Part {
-    done: bool,
-    failed: bool,
-    attempts: Vec<usize>,
+pub struct Part {
+    pub done: bool,
+    pub failed: bool,
+    pub attempts: Vec<usize>,
 }
 
-struct Query {
-    node: usize,
-    id: Option<Id>,
-    ask: Ask,
-    arrived: Time,
-    parts: Vec<Part>,
-    left: u32,
-    shed: bool,
-    ended: bool,
+pub struct Query {
+    pub node: usize,
+    pub id: Option<Id>,
+    pub ask: Ask,
+    pub arrived: Time,
+    pub parts: Vec<Part>,
+    pub left: u32,
+    pub shed: bool,
+    pub ended: bool,
 }
 
-struct Sim<'a> {
-    case: &'a Case,
-    rng: ChaCha8Rng,
-    now: Time,
-    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
-    made: u64,
-    nodes: Vec<Node>,
-    servers: Vec<Server>,
-    attempts: Vec<Attempt>,
-    queries: Vec<Query>,
-    by_id: Vec<BTreeMap<Id, usize>>,
-    snapshot: Snapshot,
-    callers: Vec<Arc<str>>,
-    figures: Figures,
+pub struct Sim<'a> {
+    pub case: &'a Case,
+    pub rng: ChaCha8Rng,
+    pub now: Time,
+    pub events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    pub made: u64,
+    pub nodes: Vec<Node>,
+    pub servers: Vec<Server>,
+    pub attempts: Vec<Attempt>,
+    pub queries: Vec<Query>,
+    pub by_id: Vec<BTreeMap<Id, usize>>,
+    pub snapshot: Snapshot,
+    pub callers: Vec<Arc<str>>,
+    pub figures: Figures,
 }
 
 /// Runs a case with a seed.
@@ -146,13 +132,13 @@
 }
 
 impl Sim<'_> {
-    fn at(&mut self, delay: Duration, event: Event) {
+    pub fn at(&mut self, delay: Duration, event: Event) {
         self.made += 1;
         self.events.push(Reverse((self.now + delay, self.made, event)));
     }
 
     /// Makes an event at the other end of an attempt's connection.
-    fn travel(&mut self, attempt: usize, event: Event) {
+    pub fn travel(&mut self, attempt: usize, event: Event) {
         let Attempt { node, server, .. } = self.attempts[attempt];
         self.at(self.case.one_way(node, server), event);
     }
@@ -176,11 +162,11 @@
     }
 
     /// Whether figures are taken of a query that arrived then.
-    fn counts(&self, arrived: Time) -> bool {
+    pub fn counts(&self, arrived: Time) -> bool {
         arrived.since(Time::ZERO) >= WARM_UP
     }
 
-    fn exponential(&mut self, mean: f64) -> f64 {
+    pub fn exponential(&mut self, mean: f64) -> f64 {
         -mean * (1.0 - self.rng.random::<f64>()).ln()
     }
 
@@ -238,7 +224,7 @@
         }
     }
 
-    fn act(&mut self, node: usize, actions: Vec<Action>) {
+    pub fn act(&mut self, node: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Run(id) => {
@@ -277,260 +263,11 @@
     }
 
     /// Sets the alarm for a hedge, after the delay over `part`.
-    fn arm(&mut self, query: usize, shard: u32, part: u32) {
+    pub fn arm(&mut self, query: usize, shard: u32, part: u32) {
         let node = &mut self.nodes[self.queries[query].node];
         let delay = node.table.hedge_delay(self.now, "desk", self.case.hedge.percent);
         if let Some(delay) = delay {
             self.at(delay / part, Event::Hedge(query, shard));
         }
     }
-
-    /// Sends an attempt to a replica that was not tried yet.
-    fn send(&mut self, query: usize, shard: u32) -> bool {
-        let node = self.queries[query].node;
-        let part = &self.queries[query].parts[shard as usize];
-        let tried: Vec<entity::Server> = part
-            .attempts
-            .iter()
-            .map(|attempt| entity::Server::from_u32(self.attempts[*attempt].server as u32))
-            .collect();
-        let here = &mut self.nodes[node];
-        let picked = here.table.pick(
-            self.now,
-            self.case.choice,
-            &self.snapshot,
-            Shard::from_u32(shard),
-            &tried,
-        );
-        let Some(server) = picked else { return false };
-        here.table.observe(self.now, server, Observation::Sent);
-        let server = server.as_u32() as usize;
-        let attempt = self.attempts.len();
-        self.attempts.push(Attempt {
-            query,
-            shard,
-            node,
-            server,
-            sent: self.now,
-            stage: Stage::Queued,
-            there: false,
-            load: 0,
-        });
-        self.queries[query].parts[shard as usize].attempts.push(attempt);
-        let lane = &mut self.nodes[node].lanes[server];
-        if lane.free > 0 {
-            lane.free -= 1;
-            self.go(attempt);
-        } else {
-            lane.waiting.push_back(attempt);
-        }
-        true
-    }
-
-    fn go(&mut self, attempt: usize) {
-        self.attempts[attempt].stage = Stage::Sent;
-        if self.counts(self.queries[self.attempts[attempt].query].arrived) {
-            self.figures.sends += 1;
-        }
-        self.travel(attempt, Event::Reach(attempt));
-    }
-
-    fn reach(&mut self, attempt: usize) {
-        if self.attempts[attempt].stage == Stage::Ended {
-            return;
-        }
-        let server = self.attempts[attempt].server;
-        if self.case.fault.is_lost(server) {
-            self.travel(attempt, Event::Return(attempt, Back::Failure));
-            return;
-        }
-        if self.servers[server].waiting.len() >= SHED {
-            self.attempts[attempt].load = self.servers[server].load();
-            self.travel(attempt, Event::Return(attempt, Back::Refusal));
-            return;
-        }
-        self.attempts[attempt].there = true;
-        self.servers[server].waiting.push_back(attempt);
-        self.work(server);
-    }
-
-    /// Starts waiting requests while the server has slots.
-    fn work(&mut self, server: usize) {
-        while self.servers[server].running.len() < SLOTS as usize {
-            let Some(attempt) = self.servers[server].waiting.pop_front() else { return };
-            self.servers[server].running.push(attempt);
-            let mut micros = LEAST_US + self.exponential(SPREAD_US);
-            micros *= self.case.fault.factor(server);
-            if self.rng.random::<f64>() < self.case.fault.straggle() {
-                micros *= STRAGGLE;
-            }
-            self.at(Duration::from_micros(micros as u64), Event::Finish(attempt));
-        }
-    }
-
-    fn finish(&mut self, attempt: usize) {
-        if !self.attempts[attempt].there {
-            return;
-        }
-        let server = self.attempts[attempt].server;
-        self.leave(attempt);
-        self.attempts[attempt].load = self.servers[server].load();
-        self.travel(attempt, Event::Return(attempt, Back::Answer));
-        self.work(server);
-    }
-
-    fn leave(&mut self, attempt: usize) {
-        self.attempts[attempt].there = false;
-        let server = &mut self.servers[self.attempts[attempt].server];
-        server.running.retain(|running| *running != attempt);
-        server.waiting.retain(|waiting| *waiting != attempt);
-    }
-
-    fn abort(&mut self, attempt: usize) {
-        if self.attempts[attempt].there {
-            self.leave(attempt);
-            self.work(self.attempts[attempt].server);
-        }
-    }
-
-    fn come_back(&mut self, attempt: usize, back: Back) {
-        if self.attempts[attempt].stage == Stage::Ended {
-            return;
-        }
-        self.attempts[attempt].stage = Stage::Ended;
-        let Attempt { query, shard, node, server, sent, load, .. } = self.attempts[attempt];
-        let report = Report {
-            incarnation: Some(node::incarnation(server)),
-            state: Some(State::Ready),
-            load: Some(self.case.fault.reported(server, load)),
-        };
-        let seen = match back {
-            Back::Answer => Observation::Replied {
-                latency: self.now - sent,
-                report,
-                snapshot: self.snapshot.clone(),
-                shard: Shard::from_u32(shard),
-            },
-            Back::Refusal => {
-                Observation::Refused { retry_after: Some(Duration::from_millis(40)), report }
-            }
-            Back::Failure => Observation::Failed,
-        };
-        let reference = entity::Server::from_u32(server as u32);
-        self.nodes[node].table.observe(self.now, reference, seen);
-        self.reopen(node, server);
-        self.queries[query].shed |= back == Back::Refusal;
-        match back {
-            Back::Answer => self.settle(query, shard, true),
-            Back::Refusal | Back::Failure => self.retry(query, shard),
-        }
-    }
-
-    fn reopen(&mut self, node: usize, server: usize) {
-        match self.nodes[node].lanes[server].waiting.pop_front() {
-            Some(next) => self.go(next),
-            None => self.nodes[node].lanes[server].free += 1,
-        }
-    }
-
-    fn retry(&mut self, query: usize, shard: u32) {
-        let node = self.queries[query].node;
-        let part = &self.queries[query].parts[shard as usize];
-        let open = part.attempts.iter().any(|a| self.attempts[*a].stage != Stage::Ended);
-        if self.queries[query].ended || part.done || open {
-            return;
-        }
-        let here = &mut self.nodes[node];
-        let may = part.attempts.len() < ATTEMPTS
-            && !here.gate.overloaded(self.now)
-            && here.retries.take();
-        if !may || !self.send(query, shard) {
-            self.settle(query, shard, false);
-        }
-    }
-
-    fn hedge(&mut self, query: usize, shard: u32) {
-        let (node, now) = (self.queries[query].node, self.now);
-        if self.queries[query].ended || self.queries[query].parts[shard as usize].done {
-            return;
-        }
-        let last = self.queries[query].left <= self.case.hedge.last;
-        let here = &mut self.nodes[node];
-        if last && !here.gate.overloaded(now) && here.hedges.take() {
-            self.send(query, shard);
-        } else {
-            self.arm(query, shard, self.case.hedge.again);
-        }
-    }
-
-    /// A shard is answered, or given up.
-    fn settle(&mut self, query: usize, shard: u32, answered: bool) {
-        let part = &mut self.queries[query].parts[shard as usize];
-        if part.done {
-            return;
-        }
-        part.done = true;
-        part.failed = !answered;
-        let losers = part.attempts.clone();
-        self.queries[query].left -= 1;
-        for attempt in losers {
-            self.cancel(attempt);
-        }
-        if self.queries[query].left == 0 {
-            self.end(query);
-        }
-    }
-
-    fn cancel(&mut self, attempt: usize) {
-        let Attempt { node, server, sent, stage, .. } = self.attempts[attempt];
-        let reference = entity::Server::from_u32(server as u32);
-        self.attempts[attempt].stage = Stage::Ended;
-        match stage {
-            Stage::Ended => {}
-            Stage::Queued => {
-                self.nodes[node].lanes[server].waiting.retain(|waiting| *waiting != attempt);
-                self.nodes[node].table.observe(self.now, reference, Observation::NotSent);
-            }
-            Stage::Sent => {
-                let seen = Observation::Cancelled { waited: self.now - sent };
-                self.nodes[node].table.observe(self.now, reference, seen);
-                self.travel(attempt, Event::Abort(attempt));
-                self.at(REOPEN, Event::Reopen(node, server));
-            }
-        }
-    }
-
-    fn end(&mut self, query: usize) {
-        if self.queries[query].ended {
-            return;
-        }
-        self.queries[query].ended = true;
-        let Query { node, id, arrived, left, shed, .. } = self.queries[query];
-        let parts = std::mem::take(&mut self.queries[query].parts);
-        for attempt in parts.iter().flat_map(|part| part.attempts.iter()) {
-            self.cancel(*attempt);
-        }
-        let whole = left == 0 && parts.iter().all(|part| !part.failed);
-        if self.counts(arrived) {
-            let latency = self.now - arrived;
-            if whole {
-                self.figures.latencies.push(latency);
-                if self.queries[query].ask.priority == Priority::Urgent {
-                    self.figures.urgent.push(latency);
-                }
-            } else {
-                self.figures.broken += 1;
-            }
-        }
-        let outcome = match (left > 0, shed) {
-            (true, _) => Outcome::Late,
-            (false, true) => Outcome::Overloaded,
-            (false, false) => Outcome::Done,
-        };
-        if let Some(id) = id {
-            self.by_id[node].remove(&id);
-            let actions = self.nodes[node].gate.done(self.now, id, outcome);
-            self.act(node, actions);
-        }
-    }
 }
--- a/crates/version/route/tests/load_targets.rs
+++ b/crates/version/route/tests/load_targets.rs
@@ -7,6 +7,8 @@
 
 use conf::object::Choice;
 
+#[path = "../examples/compare/attempt.rs"]
+mod attempt;
 #[path = "../examples/compare/model.rs"]
 mod model;
 #[path = "../examples/compare/node.rs"]
