--- a/crates/process/peer/src/lib.rs
+++ b/crates/process/peer/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod meter;
 pub mod record;
 mod serve;
+mod shared;
 pub mod spread;
 pub mod stop;
+pub mod summary;
 pub mod watcher;
--- a/crates/process/peer/src/member.rs
+++ b/crates/process/peer/src/member.rs
@@ -10,7 +10,7 @@
 //! higher sequence; [`crate::record::Leave`] never goes back; a node that finds
 //! that it was paused forgets whom it knew and is not fresh until it has caught up.
 //!
-//! Today every node knows every other. [`Table::summaries`] gives what data
+//! Today every node knows every other. [`crate::summary`] gives what data
 //! centres are to tell each other when full membership ends at their borders.
 
 use std::collections::BTreeMap;
@@ -23,10 +23,7 @@
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
-use serde::Deserialize;
-use serde::Serialize;
 
-use crate::record::Leave;
 use crate::record::Record;
 use crate::record::State;
 use base::hash;
@@ -97,21 +94,6 @@
     pub peer: SocketAddr,
 }
 
-/// What one data centre needs to know of another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Summary {
-    /// The data centre.
-    pub data_centre: Arc<str>,
-    /// Members that are up.
-    pub up: u32,
-    /// Members that callers may be told of.
-    pub nameable: u32,
-    /// The lowest revision that a member which is up has applied.
-    pub lowest_applied: u64,
-    /// A few members to talk to, by name.
-    pub relays: Vec<SocketAddr>,
-}
-
 #[derive(Clone, Debug)]
 struct Slot {
     record: Record,
@@ -403,29 +385,6 @@
     pub fn highest_applied(&self) -> u64 {
         self.all().map(|record| record.applied).max().unwrap_or(0)
     }
-
-    /// What each data centre would tell the others.
-    pub fn summaries(&self) -> Vec<Summary> {
-        const RELAYS: usize = 3;
-        let mut summaries: BTreeMap<Arc<str>, Summary> = BTreeMap::new();
-        for record in self.all().filter(|record| record.is_up()) {
-            let entry = summaries.entry(record.data_centre.clone());
-            let summary = entry.or_insert_with(|| Summary {
-                data_centre: record.data_centre.clone(),
-                up: 0,
-                nameable: 0,
-                lowest_applied: u64::MAX,
-                relays: Vec::new(),
-            });
-            summary.up += 1;
-            summary.nameable += u32::from(record.is_nameable());
-            summary.lowest_applied = summary.lowest_applied.min(record.applied);
-            if summary.relays.len() < RELAYS && record.leave == Leave::Staying {
-                summary.relays.push(record.peer);
-            }
-        }
-        summaries.into_values().collect()
-    }
 }
 
 fn change_of(record: &Record) -> Change {
--- a/crates/process/peer/src/mesh.rs
+++ b/crates/process/peer/src/mesh.rs
@@ -23,28 +23,28 @@
 use crate::connect::Failed;
 use crate::fresh;
 use crate::fresh::Fresh;
-use crate::link::Ack;
 use crate::link::Acted;
 use crate::link::HandOver;
 use crate::link::Host;
 use crate::link::News;
-use crate::link::Probe;
 use crate::lookup;
 use crate::loops;
 use crate::member;
-use crate::member::Summary;
 use crate::member::Table;
 use crate::meter::Counters;
 use crate::meter::Meter;
 use crate::record::Addresses;
 use crate::record::Record;
 use crate::serve;
+use crate::shared::Core;
 use crate::spread;
 use crate::spread::Mark;
 use crate::spread::Root;
 use crate::stop;
 use crate::stop::Phase;
 use crate::stop::Stop;
+use crate::summary;
+use crate::summary::Summary;
 use crate::watcher;
 use base::time::Time;
 use conf::object::Object;
@@ -125,105 +125,6 @@
     }
 }
 
-/// What the loops, the server and the node share.
-pub(crate) struct Core {
-    pub(crate) settings: Settings,
-    pub(crate) host: Arc<dyn Host>,
-    pub(crate) start: Instant,
-    pub(crate) table: Mutex<Table>,
-    pub(crate) spread: Mutex<spread::State>,
-    pub(crate) fresh: Mutex<Fresh>,
-    pub(crate) stop: Mutex<Stop>,
-    pub(crate) pending: Mutex<News>,
-    pub(crate) news: Notify,
-    pub(crate) hints: Mutex<Vec<SocketAddr>>,
-    pub(crate) random: Mutex<ChaCha8Rng>,
-    pub(crate) meter: Arc<Meter>,
-    pub(crate) connections: Connections,
-}
-
-impl Core {
-    pub(crate) fn now(&self) -> Time {
-        Time::ZERO + self.start.elapsed()
-    }
-
-    /// Takes what is new from anywhere, tells the host and pushes it on.
-    pub(crate) fn receive(&self, news: News) {
-        let now = self.now();
-        let (objects, marks) = {
-            let mut spread = self.spread.lock();
-            (spread.admit(news.objects), spread.admit_marks(news.marks, now))
-        };
-        if objects.is_empty() && marks.is_empty() {
-            return;
-        }
-        if !objects.is_empty() {
-            self.host.offer(objects.clone());
-        }
-        if !marks.is_empty() {
-            self.host.marks(marks.clone());
-        }
-        let mut pending = self.pending.lock();
-        pending.objects.extend(objects);
-        pending.marks.extend(marks);
-        drop(pending);
-        self.news.notify_one();
-    }
-
-    /// What this node says when it probes `peer`.
-    pub(crate) fn probe_message(&self, peer: SocketAddr) -> Probe {
-        let mut table = self.table.lock();
-        let rumors = table.rumors();
-        Probe { from: table.own().clone(), opinions: table.opinions(peer), rumors }
-    }
-
-    pub(crate) fn answer_probe(&self, probe: Probe) -> Ack {
-        let now = self.now();
-        let longest_keep_ms =
-            u32::try_from(self.settings.stop.keep.as_millis()).unwrap_or(u32::MAX);
-        let mut table = self.table.lock();
-        table.merge(probe.opinions, now);
-        let peer = probe.from.peer;
-        table.merge(vec![probe.from], now);
-        log_changes(&table.merge(probe.rumors, now));
-        // Both sides must refute after they lost each other.
-        let mut rumors = table.opinions(peer);
-        rumors.extend(table.rumors());
-        Ack { record: table.own().clone(), rumors, longest_keep_ms }
-    }
-
-    pub(crate) async fn probe_with(&self, peer: SocketAddr, probe: Probe) -> Result<Ack, Failed> {
-        let limit = self.settings.member.period / 2;
-        let probe = &probe;
-        let make = |client: crate::link::LinkClient, context| {
-            let probe = probe.clone();
-            async move { client.probe(context, probe).await }
-        };
-        self.connections.call(peer, limit, make).await
-    }
-
-    /// Takes the answer of a probe of `expected`, or of whoever is there.
-    pub(crate) fn take_ack(&self, expected: Option<Incarnation>, ack: Ack) {
-        let now = self.now();
-        let keep = Duration::from_millis(u64::from(ack.longest_keep_ms));
-        self.stop.lock().learn_keep(keep);
-        let mut table = self.table.lock();
-        let expected = expected.unwrap_or(ack.record.incarnation);
-        log_changes(&table.acked(expected, ack.record, now));
-        log_changes(&table.merge(ack.rumors, now));
-    }
-
-    pub(crate) fn peer_of(&self, incarnation: Incarnation) -> Option<SocketAddr> {
-        self.table.lock().get(incarnation).map(|record| record.peer)
-    }
-}
-
-pub(crate) fn log_changes(changes: &[member::Change]) {
-    for change in changes {
-        log::info!(target: "peer", "{change}");
-    }
-}
-
 /// What is told when a forwarded query broke down on its way.
 pub(crate) fn lost_refusal() -> Acted {
     Acted::Refusal(Refusal {
@@ -511,7 +412,7 @@
         // Each lock is let go before the next is taken: a guard that is made
         // within the literal below would live until its end.
         let members = self.members();
-        let summaries = self.core.table.lock().summaries();
+        let summaries = summary::of(self.core.table.lock().all());
         let fresh = self.core.fresh.lock().to_string();
         let phase = self.phase();
         let watchers = self.watchers();
