--- a/crates/process/peer/examples/slopes.rs
+++ b/crates/process/peer/examples/slopes.rs
@@ -234,6 +234,15 @@
     }
     let busy = gauge.read(&fleet);
     times.sort_unstable();
+    let mut marks = Vec::new();
+    for round in 0..ROUNDS {
+        let server: Arc<str> = format!("server-{round}").into();
+        let life = Incarnation(round);
+        fleet.meshes[round as usize % count].mark(server.clone(), life);
+        let known = || fleet.meshes.iter().all(|mesh| mesh.is_leaving(&server, life));
+        marks.push(until("mark", known).await);
+    }
+    marks.sort_unstable();
 
     println!("nodes objects join_ms fill_ms spread_median_ms spread_worst_ms");
     println!(
@@ -243,6 +252,11 @@
         times[times.len() / 2].as_secs_f64() * 1000.0,
         times[times.len() - 1].as_secs_f64() * 1000.0,
     );
+    println!(
+        "marks_median_ms {:.1} marks_worst_ms {:.1}",
+        marks[marks.len() / 2].as_secs_f64() * 1000.0,
+        marks[marks.len() - 1].as_secs_f64() * 1000.0,
+    );
     println!("state calls_s sent_bytes_s cpu_percent");
     for (state, cost) in [("quiet", &quiet), ("changes", &busy)] {
         println!("{state} {:.2} {:.0} {:.3}", cost.calls, cost.sent, cost.percent);
