--- a/crates/process/ctl/tests/fake/mod.rs
+++ b/crates/process/ctl/tests/fake/mod.rs
@@ -261,6 +261,18 @@
     Run { code: code as u8, text }
 }
 
+/// Runs each line as a table and as JSON; gives what was typed and printed.
+pub async fn transcript(address: SocketAddr, lines: &[&str]) -> String {
+    let mut text = String::new();
+    for line in lines {
+        for line in [line.to_string(), format!("{line} --output json")] {
+            let run = hsctl(&[address], &line).await;
+            text.push_str(&format!("$ hsctl {line}\n{}exit {}\n\n", run.text, run.code));
+        }
+    }
+    text
+}
+
 /// An address where nothing listens.
 pub async fn closed_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
