--- a/crates/process/peer/tests/stop_traps.rs
+++ b/crates/process/peer/tests/stop_traps.rs
@@ -27,7 +27,8 @@
     knows: Leave,
     /// Cut from the node that stops, both ways, within this span.
     cut: std::ops::Range<Time>,
-    up: bool,
+    /// When it is killed.
+    dies: Time,
     keep: Duration,
 }
 
@@ -35,7 +36,14 @@
     fn new(number: u64) -> Self {
         let peer = Peer { incarnation: Incarnation(number), leave: Leave::Staying, ready: true };
         let cut = Time::NEVER..Time::NEVER;
-        Self { peer, knows: Leave::Staying, cut, up: true, keep: Settings::default().keep }
+        Self { peer, knows: Leave::Staying, cut, dies: Time::NEVER, keep: Settings::default().keep }
+    }
+
+    /// Whether the node that stops still takes it for up.
+    fn seems_up(&self, now: Time) -> bool {
+        let lost = |since: Time| now >= since && now.since(since) >= DETECTION;
+        let cut_off = self.is_cut(now) && lost(self.cut.start);
+        !lost(self.dies) && !cut_off
     }
 
     fn is_cut(&self, now: Time) -> bool {
@@ -52,7 +60,7 @@
 
     fn names_stopping(&self, now: Time) -> bool {
         let detected = self.is_cut(now) && now.since(self.cut.start) >= DETECTION;
-        self.up && !detected && self.knows == Leave::Staying
+        now < self.dies && !detected && self.knows == Leave::Staying
     }
 }
 
@@ -85,9 +93,7 @@
             }
         }
         now = now + STEP;
-        let up = others
-            .iter()
-            .filter(|o| o.up && (!o.is_cut(now) || now.since(o.cut.start) < DETECTION));
+        let up = others.iter().filter(|other| other.seems_up(now));
         let view = View { peers: up.map(|o| o.peer).collect(), running: running(now) };
         actions.extend(stop.step(now, &view));
         actions.extend(stop.signal(now));
@@ -96,7 +102,7 @@
 }
 
 fn reached(others: &mut [Other], peer: Incarnation, now: Time) -> Option<&mut Other> {
-    others.iter_mut().find(|o| o.peer.incarnation == peer && o.up && !o.is_cut(now))
+    others.iter_mut().find(|o| o.peer.incarnation == peer && now < o.dies && !o.is_cut(now))
 }
 
 fn act(
@@ -140,6 +146,9 @@
         let mut others: Vec<Other> = (1..=3).map(Other::new).collect();
         for other in &mut others {
             other.keep = Duration::from_millis(random.random_range(1000..9000));
+            if random.random_bool(0.3) {
+                other.dies = Time::from_millis(random.random_range(0..12_000));
+            }
             if random.random_bool(0.5) {
                 let start = Time::from_millis(random.random_range(0..8000));
                 other.cut = start..start + Duration::from_millis(random.random_range(100..40_000));
@@ -172,7 +181,7 @@
 #[test]
 fn tickets_go_to_another_peer_if_one_refuses() {
     let mut others: Vec<Other> = (1..=3).map(Other::new).collect();
-    others[1].up = false;
+    others[1].dies = Time::ZERO;
     let run = run(&mut others, &[1], |_| 0);
     assert_eq!(run.handed_to, Some(Incarnation(3)));
 }
