--- a/crates/process/node/tests/fleet/mod.rs
+++ b/crates/process/node/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 #![allow(dead_code)]
 
 pub mod calls;
+pub mod load;
 pub mod node;
 
 use std::future::Future;
