peer: all peers are told who took the tickets before a stop ends

Cause: after a planned stop the other nodes sent resends to the minter, whose record says that it is up until it is suspected, and only the taker knew that it held the tickets. Now the leaving node fetches the taker's record and tells it to all peers before it exits, and a route prefers the taker to the minter. Ruled out: the table's adoption itself; the taker answered rightly.

--- a/crates/process/peer/src/drain.rs
+++ b/crates/process/peer/src/drain.rs
@@ -18,6 +18,9 @@
 /// The time between two steps.
 const STEP: Duration = Duration::from_millis(50);
 
+/// How often a peer is told who took the tickets before it is left to the others.
+const TELL_ROUNDS: usize = 3;
+
 /// What a stop needs of the node.
 pub trait Host: Send + Sync {
     /// Requests in progress, forwarded ones included.
@@ -66,6 +69,9 @@
         Action::CloseIdle => host.close_idle(),
         Action::HandOver(peer) => {
             let taken = mesh.hand_over(peer, host.seal()).await;
+            if taken {
+                tell_taker(mesh, peer).await;
+            }
             core.stop.lock().handed(peer, taken, core.now());
         }
         Action::Exit => log::info!(target: "peer", "stopped"),
@@ -94,6 +100,32 @@
     }
 }
 
+/// Tells every peer who took the tickets: once this node is gone, a resend
+/// would otherwise be sent here until the taker's record has spread.
+async fn tell_taker(mesh: &Mesh, taker: Incarnation) {
+    let core = &mesh.core;
+    // Its answer brings the record that names the tickets it took.
+    announce(mesh, taker).await;
+    let Some(record) = core.table.lock().get(taker).cloned() else {
+        return;
+    };
+    let mut untold: Vec<Incarnation> = mesh.peers().iter().map(|peer| peer.incarnation).collect();
+    untold.retain(|peer| *peer != taker);
+    for _ in 0..TELL_ROUNDS {
+        let record = &record;
+        let tells = untold.iter().map(|peer| async move {
+            let address = core.peer_of(*peer)?;
+            let mut message = core.probe_message(address);
+            message.rumors.push(record.clone());
+            core.probe_with(address, message).await.is_err().then_some(*peer)
+        });
+        untold = join_all(tells).await.into_iter().flatten().collect();
+        if untold.is_empty() {
+            return;
+        }
+    }
+}
+
 async fn ask(mesh: &Mesh, peer: Incarnation) -> bool {
     let core = &mesh.core;
     let Some(address) = core.peer_of(peer) else {
--- a/crates/process/peer/src/mesh.rs
+++ b/crates/process/peer/src/mesh.rs
@@ -431,9 +431,11 @@
         if own.incarnation == minter || own.minters.contains(&minter) {
             return Route::Own;
         }
-        let minted = table.get(minter).filter(|record| record.is_up());
-        let taken = || table.others().find(|r| r.is_up() && r.minters.contains(&minter));
-        minted.or_else(taken).map_or(Route::Gone, |record| Route::Peer(record.peer))
+        // The taker goes first: a minter hands over only once it is sealed, and
+        // its own record still says that it is up for a while after its exit.
+        let taken = table.others().find(|r| r.is_up() && r.minters.contains(&minter));
+        let minted = || table.get(minter).filter(|record| record.is_up());
+        taken.or_else(minted).map_or(Route::Gone, |record| Route::Peer(record.peer))
     }
 
     /// Has a ticketed query run by the node that holds its ticket.
