--- a/crates/process/ctl/tests/racing_operators.rs
+++ b/crates/process/ctl/tests/racing_operators.rs
@@ -74,7 +74,7 @@
             kind: policy
             name: steady
             revision: 1
-            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":95.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
+            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":96.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
         "#]],
     );
     check(
@@ -85,7 +85,7 @@
             kind: policy
             name: steady
             revision: 1
-            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":95.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
+            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":96.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
         "#]],
     );
     let changed = file("conflict_changed", "kind: policy\nname: steady\nspec: {choice: random}\n");
@@ -98,19 +98,19 @@
             kind: policy
             name: steady
             revision: 2
-            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":95.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
+            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":96.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
         "#]],
     );
     check(
         &hsctl(&[address], &format!("apply -f {changed} -o json")).await,
         expect![[r#"
-            4: {"failure":"conflict","message":"conflict: policy/steady is at revision 3","winner":{"kind":"policy","name":"steady","revision":3,"spec":{"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":95.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}}}
+            4: {"failure":"conflict","message":"conflict: policy/steady is at revision 3","winner":{"kind":"policy","name":"steady","revision":3,"spec":{"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":96.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}}}
             hsctl: conflict: policy/steady is at revision 3
             It now says:
             kind: policy
             name: steady
             revision: 3
-            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":95.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
+            spec: {"admit":{"deadline_aware":true,"learn":true,"most_running":256,"most_waiting":256},"choice":"least_of_two","hedge":{"budget_percent":5.0,"quantile_percent":96.0},"retry":{"attempts":3,"budget_percent":10.0},"slice_percent":60}
         "#]],
     );
     let Some(Spec::Policy(policy)) = node.spec(Kind::Policy, "steady") else { panic!("gone") };
