node: last words, tickets, leaving, silence and rolls with real processes

Upstream servers of the tests are all as near to the nodes: with the stand-in's usual data centres the far replicas got no work at all, so a test of a leaving server passed its quiet check for the wrong reason; it now waits until the server has had work first.

Known red: a request forwarded to a stopped minter is sometimes sent after its deadline, since the minter counts the deadline anew when it reads it. It runs at most once all the same, and was told as unknown.

--- a/crates/process/node/tests/support/mod.rs
+++ b/crates/process/node/tests/support/mod.rs
@@ -45,6 +45,8 @@
 use wire::caller::Query;
 use wire::caller::Refusal;
 use wire::platform::Item;
+use wire::platform::VMS_PATH;
+use wire::platform::Vms;
 
 /// After this a test hangs.
 pub const STUCK: Duration = Duration::from_secs(40);
@@ -71,6 +73,7 @@
     pub fleet: Fleet,
     /// The entry nodes.
     pub nodes: Vec<Node>,
+    value: &'static str,
     revisions: BTreeMap<String, u64>,
     dir: PathBuf,
 }
@@ -84,9 +87,10 @@
     }
 }
 
-/// The usual servers: three groups of three.
+/// The usual servers: three groups of three, all as near to the nodes, so that
+/// each of them gets work.
 pub fn service() -> Service {
-    Service { connections: 48, ..Service::default() }
+    Service { connections: 48, data_centres: vec![Arc::from("a")], ..Service::default() }
 }
 
 /// Ends `future` with a panic if it hangs.
@@ -138,8 +142,33 @@
         self.child.id().expect("it runs")
     }
 
-    /// Sends it a signal by `kill(1)`, by the id of this child.
-    pub async fn signal(&self, signal: &str) {
+    /// Stops all its threads by SIGSTOP, and returns once they stand still.
+    pub async fn pause(&self) {
+        self.signal("-STOP").await;
+        // The signal only takes effect when a thread has picked it up.
+        until("its threads stand still", async || self.stands_still()).await;
+    }
+
+    /// Ends [`Node::pause`] by SIGCONT.
+    pub async fn go_on(&self) {
+        self.signal("-CONT").await;
+    }
+
+    fn stands_still(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.id())).expect("it runs");
+        let stopped = |thread: std::io::Result<std::fs::DirEntry>| {
+            let stat =
+                thread.and_then(|thread| std::fs::read_to_string(thread.path().join("stat")));
+            // The state is the first field after the name in brackets.
+            stat.is_ok_and(|stat| {
+                stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+            })
+        };
+        threads.into_iter().all(stopped)
+    }
+
+    /// Sends a signal by `kill(1)` to this child's id.
+    async fn signal(&self, signal: &str) {
         let status = Command::new("kill").arg(signal).arg(self.id().to_string()).status().await;
         assert!(status.expect("kill runs").success());
     }
@@ -182,6 +211,15 @@
         reply.status().is_success().then(|| serde_json::from_slice(reply.body()).expect("JSON"))
     }
 
+    /// What it knows of an upstream server.
+    pub async fn upstream(&self, server: &str) -> Value {
+        let reply = get(self.caller, caller::DUMP_PATH).await.expect("it answers");
+        let state: Value = serde_json::from_slice(reply.body()).expect("it is JSON");
+        let rows = state["upstreams"].as_array().expect("they are a list");
+        let row = rows.iter().find(|row| row["name"] == server);
+        row.expect("it knows the server").clone()
+    }
+
     /// One ticket of its own.
     pub async fn ticket(&self) -> String {
         let block = self.entries(1).await.expect("it answers").block.expect("it was asked for");
@@ -189,23 +227,37 @@
     }
 }
 
-async fn get(address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
+/// Gets a path; `None` if the connection failed.
+pub async fn get(address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
     let request = Request::get(path).body(Full::default()).expect("it is well-formed");
     limited(path, http::send(address, request)).await.ok()
 }
 
 impl World {
-    /// `nodes` entry nodes before the servers of `service`, all ready.
+    /// `nodes` entry nodes before the servers of `service`, all ready; the
+    /// service values coverage.
     pub async fn start(nodes: usize, service: Service) -> Self {
+        Self::start_valuing("coverage", nodes, service).await
+    }
+
+    /// The same with another value of the service.
+    pub async fn start_valuing(value: &'static str, nodes: usize, service: Service) -> Self {
         let shards = service.groups;
         let settings = Settings { services: vec![service], ..Settings::default() };
         let fleet = Fleet::start(settings).expect("a port is free");
         let platform = Platform::start((Ipv4Addr::LOCALHOST, 0).into()).expect("a port is free");
-        let mut world =
-            Self { platform, fleet, nodes: Vec::new(), revisions: BTreeMap::new(), dir: folder() };
+        let mut world = Self {
+            platform,
+            fleet,
+            nodes: Vec::new(),
+            value,
+            revisions: BTreeMap::new(),
+            dir: folder(),
+        };
         let policy = json!({
             "hedge": { "quantile_percent": 100.0 },
             "retry": { "attempts": 6, "budget_percent": 100.0 },
+            "slice_percent": 100,
         });
         world.put("policy", "usual", policy).await;
         for (name, map) in world.fleet.maps().clone() {
@@ -291,10 +343,18 @@
         self.revisions.insert(path, item.revision);
     }
 
+    /// Sets the platform's VM list.
+    pub async fn list(&self, vms: &Vms) {
+        let body = serde_json::to_vec(vms).expect("it is JSON");
+        let request = Request::put(VMS_PATH).body(Full::from(body)).expect("it is well-formed");
+        let reply = limited("a list", http::send(self.platform.address(), request)).await;
+        assert!(reply.expect("the platform answers").status().is_success());
+    }
+
     /// Makes the service use a map.
     pub async fn use_map(&mut self, map: &str, older: &[&str]) {
         let spec = json!({
-            "value": "coverage", "deadline_ms": DEADLINE_MS, "policy": "usual", "map": map,
+            "value": self.value, "deadline_ms": DEADLINE_MS, "policy": "usual", "map": map,
             "older_maps": older, "slots": 2, "connections": 48,
         });
         self.put("service", "search", spec).await;
--- a/crates/process/node/tests/true_coverage.rs
+++ b/crates/process/node/tests/true_coverage.rs
@@ -3,12 +3,13 @@
 
 mod support;
 
-use fakes::upstream::Action;
 use support::World;
 use support::query;
 use support::service;
 use support::until;
 
+use fakes::upstream::Action;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn any_node_answers_whole_without_a_server() {
     let world = World::start(3, service()).await;
