--- a/crates/process/node/tests/version_roll.rs
+++ b/crates/process/node/tests/version_roll.rs
@@ -39,6 +39,11 @@
     for number in 1..20 {
         assert!(version_of(number).await.is_subset(&BTreeSet::from([1, 2])));
     }
+    // Now with nodes that know both.
+    until("the new version is known", async || version_of(20).await.contains(&2)).await;
+    for number in 21..40 {
+        assert!(version_of(number).await.is_subset(&BTreeSet::from([1, 2])));
+    }
     world.fault("*", Action::AddVersion { version: 2 }).await;
     world.fault("*", Action::DropVersion { version: 1 }).await;
     until("all nodes answer from version 2", async || {
