--- a/crates/process/node/tests/change_spread.rs
+++ b/crates/process/node/tests/change_spread.rs
@@ -34,7 +34,9 @@
     fleet.add();
     fleet.settle().await;
     fleet.in_force(second).await;
-    fleet.on_all("nothing reverts", async |node| node.revision().await >= second).await;
+    for node in &fleet.nodes {
+        assert!(node.holds(&format!("policy/extra revision {second}")).await, "{}", node.name);
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/process/node/tests/fleet/node.rs
+++ b/crates/process/node/tests/fleet/node.rs
@@ -110,12 +110,16 @@
         self.state().await["configuration"]["revision"].as_u64().unwrap_or(0)
     }
 
-    /// Whether the object is in force and not deleted.
+    /// Whether the object, or the object at a revision, is in force and not deleted.
     pub async fn holds(&self, object: &str) -> bool {
         let state = self.state().await;
         let lines = state["configuration"]["objects"].as_array().cloned().unwrap_or_default();
         let mut lines = lines.iter().filter_map(|line| line.as_str());
-        lines.any(|line| line.starts_with(&format!("{object} ")) && !line.ends_with(" deleted"))
+        lines.any(|line| {
+            let rest = line.strip_prefix(object);
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(' '))
+                && !line.ends_with(" deleted")
+        })
     }
 
     /// Whether it holds the present configuration, by its own word.
