--- a/crates/process/node/tests/change_spread.rs
+++ b/crates/process/node/tests/change_spread.rs
@@ -29,12 +29,16 @@
     let first = fleet.put("policy", "extra", json!({"slice_percent": 40})).await;
     let second = fleet.put("policy", "extra", json!({"slice_percent": 50})).await;
     fleet.in_force(second).await;
-    fleet.platform.set_fault(Fault { stale_by: second - first + 1, ..Fault::default() });
+    fleet.platform.set_fault(Fault { stale_by: second - first, ..Fault::default() });
     // A node that starts on stale reads must not take the others back.
+    let lists = fleet.platform.stats().lists;
     fleet.add();
+    fleet::until("stale reads", async || fleet.platform.stats().lists >= lists + 4).await;
     fleet.settle().await;
     fleet.in_force(second).await;
-    fleet.on_all("nothing reverts", async |node| node.revision().await >= second).await;
+    for node in &fleet.nodes {
+        assert!(node.holds(&format!("policy/extra revision {second}")).await, "{}", node.name);
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
