pool: a slow server's connections are not taken for silent

Cause: an answer about health counted as progress, so the first request to a server whose replies take a second was closed as silent after 250 ms, on each attempt; the search ended as lost_reply far before its deadline. Health answers and probes ask for little and say nothing of how long requests take. Ruled out: doubling the wait after each closing (all three attempts are spent before it is long enough); waiting for half of the deadline without a limit (silent_servers took 31 s in place of 2). After: on a probe's word alone a request is waited for half of its time, at most 2 s; replies to later requests end it as before.

--- a/crates/connection/pool/src/exchange.rs
+++ b/crates/connection/pool/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::error::Error;
 use crate::error::Lost;
 use crate::error::Unsent;
+use crate::lane::Connection;
 use crate::lease::Lease;
 use crate::process::Permit;
 use crate::reply;
@@ -29,9 +30,19 @@
 use crate::request::Message;
 use crate::request::Request;
 use crate::request::Target;
+use crate::silence::Detector;
+use crate::state::Entry;
+use base::time::Time;
 use wire::upstream::Health;
 use wire::upstream::Report;
 
+/// The part of the time left that a request is waited for though a probe says
+/// that its connection is silent: half, so that one more try fits in.
+const PATIENCE_PART: u32 = 2;
+/// The longest such wait. A server whose replies take longer and that has not
+/// answered yet is taken for silent; after its first reply its pace is known.
+const MOST_PATIENCE: Duration = Duration::from_secs(2);
+
 /// What came back, read as far as it came.
 struct Raw {
     parts: Parts,
@@ -75,7 +86,7 @@
     if !raw.complete {
         return Err(Error::Unknown(Lost::Broken));
     }
-    finish(lease);
+    finish_with(lease, Detector::answered);
     serde_json::from_slice(&raw.body).map_err(|_| Error::Unknown(status(&raw)))
 }
 
@@ -92,7 +103,10 @@
 async fn swap(lease: &mut Lease, message: Message, keep: bool, end: Instant) -> Result<Raw, Error> {
     let (server, id) = (lease.server, lease.id);
     let now = lease.shared().now();
-    lease.shared().with(server, |entry| entry.detector.sent(now, id, keep));
+    let left = end.saturating_duration_since(Instant::now());
+    let patience = (left / PATIENCE_PART).min(MOST_PATIENCE);
+    let note = |entry: &mut Entry| entry.detector.sent_with(now, id, keep, patience);
+    lease.shared().with(server, note);
     lease.due();
     let limit = lease.shared().settings.body_limit;
     let Some(link) = lease.link() else { return Err(Error::NotSent(Unsent::HandedBack)) };
@@ -167,8 +181,12 @@
 }
 
 fn finish(lease: &mut Lease) {
+    finish_with(lease, Detector::replied);
+}
+
+fn finish_with(lease: &mut Lease, note: impl FnOnce(&mut Detector, Time, Connection)) {
     lease.read();
     let now = lease.shared().now();
     let id = lease.id;
-    lease.shared().with(lease.server, |entry| entry.detector.replied(now, id));
+    lease.shared().with(lease.server, |entry| note(&mut entry.detector, now, id));
 }
--- a/crates/connection/pool/src/process.rs
+++ b/crates/connection/pool/src/process.rs
@@ -218,12 +218,13 @@
     /// is full. When all places are busy the suspect gives up its own, which the
     /// next waiter or the warming takes.
     fn probe(&self, server: Server, suspect: Connection) {
+        let now = self.shared.now();
         let begin = |entry: &mut Entry| {
             let way = match entry.lane.begin(u32::MAX) {
                 Some(id) => Way::Open(id),
                 None => match entry.lane.newest() {
                     Some((id, link)) => Way::Idle(id, link),
-                    None if entry.detector.keeps(suspect) => Way::None,
+                    None if entry.detector.keeps(now, suspect) => Way::None,
                     None => Way::GiveUp,
                 },
             };
--- a/crates/connection/pool/src/silence.rs
+++ b/crates/connection/pool/src/silence.rs
@@ -9,7 +9,7 @@
 //!
 //! Invariant: a connection is named silent only if it waited longer than a
 //! multiple of the slowest recent reply, and later requests were answered on
-//! other connections. One whose request must not run twice is never named.
+//! other connections, or a probe was and the request's patience is spent. One whose request must not run twice is never named.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -49,7 +49,11 @@
 struct Busy {
     sent: Time,
     later: u32,
+    /// Whether a probe that was sent later was answered.
+    probed: bool,
     keep: bool,
+    /// How long it is waited for on a probe's word alone.
+    patience: Duration,
     /// When it was sent or last probed for.
     asked: Time,
 }
@@ -70,7 +74,14 @@
 
     /// Notes a request; `keep` if its connection must not be given up.
     pub fn sent(&mut self, now: Time, id: Connection, keep: bool) {
-        self.busy.insert(id, Busy { sent: now, later: 0, keep, asked: now });
+        self.sent_with(now, id, keep, Duration::ZERO);
+    }
+
+    /// Notes a request that a probe's word alone does not end before `patience`:
+    /// a probe asks for little and so is answered by a server that is slow.
+    pub fn sent_with(&mut self, now: Time, id: Connection, keep: bool, patience: Duration) {
+        let busy = Busy { sent: now, later: 0, probed: false, keep, patience, asked: now };
+        self.busy.insert(id, busy);
     }
 
     /// Notes the end of a reply.
@@ -80,13 +91,25 @@
             self.recent.pop_front();
         }
         self.recent.push_back(now - done.sent);
-        self.progress(done.sent, 1);
+        for busy in self.busy.values_mut().filter(|busy| busy.sent < done.sent) {
+            busy.later = busy.later.saturating_add(1);
+        }
+    }
+
+    /// Notes the end of an answer about health, which counts like a probe's: it
+    /// says nothing about how long requests take.
+    pub fn answered(&mut self, _now: Time, id: Connection) {
+        if let Some(done) = self.busy.remove(&id) {
+            self.probed(done.sent);
+        }
     }
 
     /// Notes that a probe which was sent at `sent` on a fresh connection was
     /// answered.
     pub fn probed(&mut self, sent: Time) {
-        self.progress(sent, self.settings.later_replies);
+        for busy in self.busy.values_mut().filter(|busy| busy.sent < sent) {
+            busy.probed = true;
+        }
     }
 
     /// Forgets a connection that was closed or whose request was given up.
@@ -98,7 +121,9 @@
     pub fn silent(&self, now: Time) -> Vec<Connection> {
         let bound = self.bound();
         let silent = |busy: &Busy| {
-            !busy.keep && busy.later >= self.settings.later_replies && now - busy.sent > bound
+            let waited = now - busy.sent;
+            let passed = busy.later >= self.settings.later_replies;
+            !busy.keep && waited > bound && (passed || busy.probed && waited > busy.patience)
         };
         self.busy.iter().filter(|(_, busy)| silent(busy)).map(|(id, _)| *id).collect()
     }
@@ -114,15 +139,10 @@
         Some(*id)
     }
 
-    /// Whether the connection must not be given up.
-    pub fn keeps(&self, id: Connection) -> bool {
-        self.busy.get(&id).is_some_and(|busy| busy.keep)
-    }
-
-    fn progress(&mut self, sent: Time, weight: u32) {
-        for busy in self.busy.values_mut().filter(|busy| busy.sent < sent) {
-            busy.later = busy.later.saturating_add(weight);
-        }
+    /// Whether the connection must not be given up at `now` to make room for a
+    /// probe.
+    pub fn keeps(&self, now: Time, id: Connection) -> bool {
+        self.busy.get(&id).is_some_and(|busy| busy.keep || now - busy.sent <= busy.patience)
     }
 
     fn bound(&self) -> Duration {
