node, route, query: a lost shard is not waited for, and says nothing of load

Ruled out: a bound on the wait alone (a restart of a group's servers would cost coverage), and giving up after three refusals (found before to cost coverage). After: servers that only failed for 2 s without a sign of life are lost; the health checks go on and bring them back. Requests that lack such a shard don't teach the gate.

--- a/crates/process/node/src/process/upstreams.rs
+++ b/crates/process/node/src/process/upstreams.rs
@@ -177,6 +177,9 @@
         tried: &[Server],
     ) -> Result<Server, Reason> {
         self.upstreams.with(|table| {
+            if table.is_lost(now, snapshot, shard) {
+                return Err(Reason::Unreachable);
+            }
             let fresh = table.pick(now, self.choice, snapshot, shard, tried);
             let any = fresh.or_else(|| table.pick(now, self.choice, snapshot, shard, &[]));
             any.ok_or_else(|| match table.is_held(snapshot, shard) {
--- a/crates/process/node/src/request/answer.rs
+++ b/crates/process/node/src/request/answer.rs
@@ -357,7 +357,11 @@
     if has(Reason::Refused) || has(Reason::Budget) {
         return Load::Overloaded;
     }
-    if has(Reason::Deadline) { Load::Late } else { Load::Done }
+    if has(Reason::Deadline) {
+        return Load::Late;
+    }
+    // A shard that is lost tells nothing about load, nor how long requests take.
+    if answer.missing.is_empty() { Load::Done } else { Load::Other }
 }
 
 fn words(cause: Cause) -> &'static str {
--- a/crates/request/query/src/attempt.rs
+++ b/crates/request/query/src/attempt.rs
@@ -201,7 +201,9 @@
             return self.restart(now, target, context);
         }
         self.slots[index as usize].reason = Some(reason);
-        if self.may_wait(now, index) {
+        // Servers that the chooser takes for lost are not waited for: with one
+        // shard lost, every query would otherwise last to its deadline.
+        if reason != Reason::Unreachable && self.may_wait(now, index) {
             self.pause(now, index);
         } else {
             self.give_up(index, reason);
--- a/crates/version/route/src/health.rs
+++ b/crates/version/route/src/health.rs
@@ -18,6 +18,8 @@
 const SPARED: Duration = Duration::from_secs(2);
 /// How long a refusal counts if it does not say when to come back.
 const REFUSED: Duration = Duration::from_millis(50);
+/// How long a server must have failed, without a sign of life, to count as lost.
+const LOST: Duration = Duration::from_secs(2);
 /// The longest time that a refusal counts, whatever it says.
 const MOST_REFUSED: Duration = Duration::from_secs(2);
 
@@ -27,6 +29,8 @@
     failures: u32,
     refusals: u64,
     spared_until: Time,
+    /// The first failure since the last sign of life.
+    failing_since: Option<Time>,
 }
 
 impl Health {
@@ -38,11 +42,18 @@
     /// Notes a reply.
     pub fn replied(&mut self) {
         self.failures = 0;
+        self.failing_since = None;
+    }
+
+    /// Notes an answer about health: a sign of life, though no proof of fitness.
+    pub fn answered(&mut self) {
+        self.failing_since = None;
     }
 
     /// Notes an attempt or a health check without an answer.
     pub fn failed(&mut self, now: Time) {
         self.failures = self.failures.saturating_add(1);
+        self.failing_since.get_or_insert(now);
         if self.failures >= FAILURES {
             self.spared_until = self.spared_until.max(now + SPARED);
         }
@@ -59,6 +70,14 @@
     pub fn reset(&mut self) {
         self.failures = 0;
         self.spared_until = Time::ZERO;
+        self.failing_since = None;
+    }
+
+    /// Whether the server has only failed for so long that a request need not
+    /// wait for it.
+    pub fn is_lost(&self, now: Time) -> bool {
+        let long = self.failing_since.is_some_and(|since| now.since(since) >= LOST);
+        long && self.failures >= FAILURES
     }
 
     /// Whether the server is unfit at `now`.
--- a/crates/version/route/src/order.rs
+++ b/crates/version/route/src/order.rs
@@ -98,6 +98,15 @@
         group.iter().filter(fits).copied().collect()
     }
 
+    /// Whether every server that may answer a shard of a snapshot is lost, so
+    /// that no request need wait for one of them. The health checks go on and
+    /// bring back what lives.
+    pub fn is_lost(&self, now: Time, snapshot: &Snapshot, shard: Shard) -> bool {
+        let candidates = self.candidates(snapshot, shard, &[]);
+        let lost = |server: &Server| self.servers[*server].health.is_lost(now);
+        !candidates.is_empty() && candidates.iter().all(lost)
+    }
+
     /// Whether a shard of a snapshot is held, if only by servers that leave.
     pub fn is_held(&self, snapshot: &Snapshot, shard: Shard) -> bool {
         let group = self.group(&snapshot.map, shard);
--- a/crates/version/route/src/table.rs
+++ b/crates/version/route/src/table.rs
@@ -230,6 +230,7 @@
             state: Some(health.state),
             load: Some(health.load),
         };
+        self.servers[server].health.answered();
         let marks = self.report(now, server, Source::Health, report);
         let current = self.lives.get(&health.server).and_then(Lives::current);
         if current == Some(health.incarnation) {
