--- a/crates/process/node/src/process/operate.rs
+++ b/crates/process/node/src/process/operate.rs
@@ -163,7 +163,7 @@
         }
         let record = self.find(|record| *record.name == *name)?;
         let target = Some(proto::drain_request::Target::Node(name));
-        let mut client = client(&record)?;
+        let mut client = client(&record).await?;
         let reply = client.drain(proto::DrainRequest { target }).await;
         reply.map(|reply| reply.into_inner().message).map_err(|status| Failure::from(&status))
     }
@@ -189,7 +189,7 @@
         }
         let record =
             self.find(|record| record.incarnation.to_string() == life).map_err(|_| unknown())?;
-        let mut client = client(&record)?;
+        let mut client = client(&record).await?;
         let reply = client.explain(proto::ExplainRequest { request: request.clone() }).await;
         reply.map(|reply| reply.into_inner().trace).map_err(|status| Failure::from(&status))
     }
@@ -204,10 +204,15 @@
 /// How long the platform may be silent and still count as reachable.
 const PLATFORM_SILENCE: Duration = Duration::from_secs(5);
 
-fn client(record: &Record) -> Result<OperatorClient<Channel>, Failure> {
+/// Connects before the call, so that a node that can't be reached is told as
+/// unavailable and not as an unknown outcome.
+async fn client(record: &Record) -> Result<OperatorClient<Channel>, Failure> {
     let endpoint = Endpoint::from_shared(format!("http://{}", record.operator))
         .map_err(|error| Failure::unavailable(error.to_string()))?;
-    let channel = endpoint.connect_timeout(CONNECT_LIMIT).connect_lazy();
+    let channel = endpoint.connect_timeout(CONNECT_LIMIT).connect().await;
+    let channel = channel.map_err(|error| {
+        Failure::unavailable(format!("node {} can't be reached: {error}", record.name))
+    })?;
     Ok(OperatorClient::new(channel))
 }
 
