query: a search that every server refused is told at once, when its budget is spent

Cause: a service that values coverage kept asking its empty retry budget until the deadline while every upstream shed; the caller heard 'not run' only then. Ruled out: refusing after the first round, since a refusal may pass in milliseconds and coverage is valued; as long as the budget gives, it retries. After: when nothing ran, nothing runs and the budget denies more, the refusal goes out with the upstream's time to come back.

--- a/crates/request/query/src/attempt.rs
+++ b/crates/request/query/src/attempt.rs
@@ -9,10 +9,12 @@
 use crate::event::Action;
 use crate::machine::Machine;
 use crate::slot::Phase;
+use crate::slot::Slot;
 use crate::slot::Try;
 use base::entity::Server;
 use base::time::Time;
 use conf::object::Value;
+use wire::caller::Cause;
 use wire::caller::Reason;
 
 /// When an attempt is made.
@@ -77,7 +79,7 @@
             return self.pause(now, index);
         }
         if self.costs_retry(index) && !context.budget.take_retry(now) {
-            return self.no_budget(now, index);
+            return self.no_budget(now, index, context);
         }
         if self.slots[index as usize].attempts == 0 {
             context.budget.first_send(now);
@@ -180,9 +182,13 @@
         self.alarms.set(&mut self.slots, index, at);
     }
 
-    pub(crate) fn no_budget(&mut self, now: Time, index: u32) {
+    /// The budget denies another attempt of the slot.
+    pub(crate) fn no_budget(&mut self, now: Time, index: u32, context: &mut Context<'_>) {
         match self.plan.value {
             Value::Tail => self.give_up(index, Reason::Budget),
+            // Nothing ran and nothing more may be sent now: the caller is told at
+            // once when to come back, instead of at the deadline.
+            Value::Coverage if self.is_refused() => self.refuse(Cause::Refused, context),
             Value::Coverage => {
                 self.slots[index as usize].reason = Some(Reason::Budget);
                 self.pause(now, index);
@@ -190,6 +196,12 @@
         }
     }
 
+    /// Whether every shard was tried, and every attempt was refused or not sent.
+    fn is_refused(&self) -> bool {
+        let idle = |slot: &Slot| slot.attempts > 0 && slot.live == 0;
+        self.covered == 0 && self.slots.iter().all(idle) && !self.may_have_run()
+    }
+
     pub(crate) fn no_replica(
         &mut self,
         now: Time,
--- a/crates/request/query/src/last.rs
+++ b/crates/request/query/src/last.rs
@@ -76,7 +76,8 @@
         runs.max_by_key(|run| run.len()).map(|run| run[0])
     }
 
-    fn may_have_run(&self) -> bool {
+    /// Whether any attempt ever made may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
         self.tries.values().any(|entry| entry.phase.may_have_run())
     }
 
--- a/crates/request/query/src/machine.rs
+++ b/crates/request/query/src/machine.rs
@@ -281,6 +281,10 @@
             return;
         }
         while let Some(index) = self.alarms.due(&mut self.slots, now) {
+            if self.is_sealed() {
+                // The slot before this one led to the last word.
+                return;
+            }
             if self.slots[index as usize].live > 0 {
                 self.hedge(now, index, context);
             } else {
