--- a/crates/request/query/src/budget.rs
+++ b/crates/request/query/src/budget.rs
@@ -1,8 +1,8 @@
 //! Extra sends as a share of first sends.
 //!
 //! Invariant: over any span, the hedges (or retries) taken are at most their
-//! share of the first sends in it and in the two [`WINDOW`]s before it, plus the
-//! burst; none is taken while overloaded. So a wide fan-out may use its whole
+//! share of the first sends in it and in the two windows of a second before it,
+//! plus the burst; none is taken while overloaded. So a wide fan-out may use its whole
 //! share at once, and what a busy minute left unused doesn't last.
 
 use std::fmt;
