node: the driver of a query in three files

The machine with what it is lent (core) and the right of one attempt to be sent (right) stand apart from the loop that carries actions out. Nothing else changes.

--- /dev/null
+++ b/crates/process/node/src/request/core.rs
@@ -0,0 +1,50 @@
+//! The state machine of one query with what it is lent.
+//!
+//! Invariant: what the machine asks for while an attempt is being sent is kept as
+//! pending and never lost.
+
+use base::time::Time;
+use query::context::Budget;
+use query::context::Chooser;
+use query::context::Context;
+use query::event::Action;
+use query::event::Event;
+use query::machine::Machine;
+use query::record::Recorder;
+use query::trace::Trace;
+
+/// The machine and what it is lent.
+pub(crate) struct Core {
+    pub(crate) machine: Machine,
+    pub(crate) chooser: Box<dyn Chooser>,
+    pub(crate) budget: Box<dyn Budget>,
+    pub(crate) recorder: Option<Recorder>,
+    /// What the machine asked for while an attempt was being sent.
+    pub(crate) pending: Vec<Action>,
+}
+
+impl Core {
+    /// Handles one event; what is to be done is put into `actions`.
+    pub(crate) fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        let taken = std::mem::take(actions);
+        let Some(recorder) = &self.recorder else {
+            let mut context =
+                Context::new(&mut *self.chooser, &mut *self.budget).with_actions(taken);
+            self.machine.handle(now, event, &mut context);
+            *actions = context.actions;
+            return;
+        };
+        recorder.event(now, &event);
+        let mut chooser = recorder.chooser(&mut *self.chooser);
+        let mut budget = recorder.budget(&mut *self.budget);
+        let mut context = Context::new(&mut chooser, &mut budget).with_actions(taken);
+        self.machine.handle(now, event, &mut context);
+        *actions = context.actions;
+        recorder.actions(now, actions);
+    }
+
+    /// The recorded trace, if one is recorded.
+    pub(crate) fn trace(&self) -> Option<Trace> {
+        self.recorder.as_ref().map(|recorder| recorder.trace(self.machine.plan()))
+    }
+}
--- a/crates/process/node/src/request/drive.rs
+++ b/crates/process/node/src/request/drive.rs
@@ -19,20 +19,21 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::request::core::Core;
+use crate::request::right::Phase;
+use crate::request::right::Right;
 use base::entity::Attempt;
 use base::entity::Server;
 use base::entity::Shard;
 use base::time::Time;
 use pool::error::Error;
 use pool::error::Unsent;
-use pool::process::Permit;
 use pool::process::Pool;
 use pool::reply::Reply;
 use pool::request::Request;
 use pool::request::Target;
 use query::context::Budget;
 use query::context::Chooser;
-use query::context::Context;
 use query::event;
 use query::event::Action;
 use query::event::End;
@@ -106,40 +107,6 @@
     pub trace: Option<Trace>,
 }
 
-/// The machine and what it is lent.
-struct Core {
-    machine: Machine,
-    chooser: Box<dyn Chooser>,
-    budget: Box<dyn Budget>,
-    recorder: Option<Recorder>,
-    /// What the machine asked for while an attempt was being sent.
-    pending: Vec<Action>,
-}
-
-impl Core {
-    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
-        let taken = std::mem::take(actions);
-        let Some(recorder) = &self.recorder else {
-            let mut context =
-                Context::new(&mut *self.chooser, &mut *self.budget).with_actions(taken);
-            self.machine.handle(now, event, &mut context);
-            *actions = context.actions;
-            return;
-        };
-        recorder.event(now, &event);
-        let mut chooser = recorder.chooser(&mut *self.chooser);
-        let mut budget = recorder.budget(&mut *self.budget);
-        let mut context = Context::new(&mut chooser, &mut budget).with_actions(taken);
-        self.machine.handle(now, event, &mut context);
-        *actions = context.actions;
-        recorder.actions(now, actions);
-    }
-
-    fn trace(&self) -> Option<Trace> {
-        self.recorder.as_ref().map(|recorder| recorder.trace(self.machine.plan()))
-    }
-}
-
 type Attempting = Pin<Box<dyn Future<Output = (Attempt, Server, Result<Reply, Error>)> + Send>>;
 
 /// A running query.
@@ -299,85 +266,6 @@
     }
 }
 
-/// How far one attempt came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// It waits for its connection.
-    Waiting,
-    /// It was handed over, at this time.
-    Sent(Time),
-    /// Its end was told to the host.
-    Ended,
-}
-
-/// The right of one attempt to be sent; tells the host how it ends.
-struct Right {
-    core: Arc<Mutex<Core>>,
-    asked: Arc<Notify>,
-    host: Arc<dyn Host>,
-    clock: Clock,
-    claim: Option<Arc<dyn Claim>>,
-    attempt: Attempt,
-    server: Server,
-    request: Request,
-    phase: Mutex<Phase>,
-}
-
-impl Right {
-    fn end(&self, result: Option<&Result<Reply, Error>>) {
-        let was = std::mem::replace(&mut *self.phase.lock(), Phase::Ended);
-        let now = self.clock.now();
-        let waited = match was {
-            Phase::Ended => return,
-            Phase::Waiting => None,
-            Phase::Sent(at) => Some(now.since(at)),
-        };
-        let ended = Ended { server: self.server, request: &self.request, waited, result };
-        self.host.ended(now, &ended);
-        let harmless = matches!(result, Some(Err(Error::NotSent(_) | Error::Refused { .. })));
-        if let (true, true, Some(claim)) = (waited.is_some(), harmless, &self.claim) {
-            claim.give_back();
-        }
-    }
-}
-
-impl Permit for Right {
-    fn take(&self) -> bool {
-        let mut phase = self.phase.lock();
-        if *phase != Phase::Waiting {
-            // The library handed it back: the machine decides on another attempt.
-            return false;
-        }
-        let now = self.clock.now();
-        let mut core = self.core.lock();
-        if !core.machine.may_send(self.attempt) {
-            return false;
-        }
-        if self.claim.as_ref().is_some_and(|claim| !claim.take(now)) {
-            return false;
-        }
-        let mut actions = Vec::new();
-        core.handle(now, Event::Sent { attempt: self.attempt }, &mut actions);
-        if !actions.is_empty() {
-            core.pending.append(&mut actions);
-            self.asked.notify_one();
-        }
-        if core.machine.is_sealed() {
-            // The deadline passed at this very moment: the last word is said, so
-            // nothing may go out any more.
-            return false;
-        }
-        *phase = Phase::Sent(now);
-        true
-    }
-}
-
-impl Drop for Right {
-    fn drop(&mut self) {
-        self.end(None);
-    }
-}
-
 /// The reply as the machine takes it; a body that is no JSON is not complete.
 fn read(reply: Reply) -> event::Reply {
     let body = serde_json::from_slice(&reply.body);
