node: a request that may have waited through a pause is not run

It still ran at most once. Ruled out: sending the time left with the forward (time in a socket is not seen), and the lookout for pauses in the member table (it may run after the read).

--- a/crates/process/node/src/process.rs
+++ b/crates/process/node/src/process.rs
@@ -7,6 +7,7 @@
 pub mod health;
 pub mod hub;
 pub mod operate;
+pub mod pulse;
 pub mod report;
 pub mod run;
 pub mod state;
--- a/crates/process/node/src/process/run.rs
+++ b/crates/process/node/src/process/run.rs
@@ -19,6 +19,7 @@
 use crate::process::health;
 use crate::process::hub::Hub;
 use crate::process::operate::Desk;
+use crate::process::pulse;
 use crate::process::state::Draw;
 use crate::process::state::Process;
 use crate::process::stop;
@@ -87,6 +88,7 @@
     let callers = listen("caller_address", settings.caller_address).await?;
     let operators = listen("operator_address", settings.operator_address).await?;
     let process = Process::new(settings, draw)?;
+    process.pulse.beat(process.clock.now());
     let settings = &process.settings;
     let caller = local(&callers, settings.caller_address);
     let operator = local(&operators, settings.operator_address);
@@ -169,6 +171,7 @@
     let end = process.end.clone();
     tokio::spawn(async move { pool.run(end).await });
     tokio::spawn(health::run(Arc::clone(process)));
+    tokio::spawn(pulse::run(Arc::clone(process)));
     tokio::spawn(experiments::guard(Arc::clone(process)));
     tokio::spawn(watch_members(Arc::clone(process), Arc::clone(mesh)));
     tokio::spawn(store::follow::run(
--- a/crates/process/node/src/process/state.rs
+++ b/crates/process/node/src/process/state.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::process::experiments::Tallies;
+use crate::process::pulse::Pulse;
 use crate::process::traces::Traces;
 use crate::process::upstreams::Chooser;
 use crate::process::upstreams::Upstreams;
@@ -68,6 +69,8 @@
     pub traces: Traces,
     /// What the arms of experiments have shown here.
     pub tallies: Tallies,
+    /// Whether it was paused.
+    pub pulse: Pulse,
     /// Its metrics.
     pub metrics: Metrics,
     /// The platform's client.
@@ -139,6 +142,7 @@
             tickets: Arc::new(Tickets::new(tickets, clock)),
             traces: Traces::new(settings.explain_capacity as usize),
             tallies: Tallies::default(),
+            pulse: Pulse::default(),
             metrics: Metrics::new()?,
             store: Arc::new(Client::new(settings.platform.clone(), calling)),
             requests: TaskTracker::new(),
--- a/crates/process/node/src/request/answer.rs
+++ b/crates/process/node/src/request/answer.rs
@@ -15,6 +15,7 @@
 use crate::request::plan;
 use crate::request::plan::Frame;
 use crate::request::ticket::Run;
+use crate::request::ticket::Tickets;
 use admit::ask::Ask;
 use admit::ask::Outcome as Load;
 use base::hash;
@@ -158,8 +159,7 @@
         let process = Arc::clone(&self.process);
         let tickets = Arc::clone(&process.tickets);
         let run = process.requests.spawn(async move {
-            let claim = Arc::new(Run::new(Arc::clone(&tickets), ticket));
-            let last = self.admit_and_run(deadline, Some(claim)).await;
+            let last = self.run_claim(&tickets, ticket, deadline).await;
             let last = match last {
                 Ok(answer) => Stored::Answer(Arc::new(answer)),
                 Err(refusal) => Stored::Refusal(refusal),
@@ -169,6 +169,18 @@
         run.await.unwrap_or(Err(gone))
     }
 
+    /// Runs a ticketed request, unless it may have waited unseen past its deadline
+    /// while this process stood still: then it never runs, which its ticket's
+    /// table keeps as its final outcome.
+    async fn run_claim(&self, tickets: &Arc<Tickets>, ticket: Ticket, deadline: Time) -> Last {
+        if self.process.pulse.is_suspect(self.process.clock.now()) {
+            let message = "the node stood still while the request may have waited";
+            return Err(self.refuse(Cause::Deadline, message));
+        }
+        let claim = Arc::new(Run::new(Arc::clone(tickets), ticket));
+        self.admit_and_run(deadline, Some(claim)).await
+    }
+
     async fn forward(self, minter: Incarnation) -> Last {
         let Some(mesh) = self.process.mesh() else {
             return Err(self.unknown(Cause::MinterGone, "this node has not joined yet"));
