node: one look-up of a policy, one fallback to the service's own

The governing policy fell back to the service's twice, once where it could not happen; it now takes the service that its caller has. The gate's policy is looked up by the same function as a request's.

--- a/crates/process/node/src/process/experiments.rs
+++ b/crates/process/node/src/process/experiments.rs
@@ -16,6 +16,7 @@
 use conf::object::Key;
 use conf::object::Kind;
 use conf::object::Object;
+use conf::object::Service;
 use conf::object::Spec;
 use conf::object::Stage;
 use peer::mesh::Mesh;
@@ -75,18 +76,17 @@
 /// The policy that governs a service outside of running experiments: the
 /// winner's of the experiment concluded last, unless the service was changed
 /// after that.
-pub fn governing(catalog: &Catalog, service: &str) -> Option<Arc<str>> {
+pub fn governing(catalog: &Catalog, name: &Arc<str>, service: &Service) -> Arc<str> {
     let revision =
         |kind, name: &Arc<str>| catalog.revision_of(&Key { kind, name: Arc::clone(name) });
-    let changed = revision(Kind::Service, &Arc::from(service));
-    let concluded = on_service(catalog, service).filter_map(|(name, experiment)| {
+    let changed = revision(Kind::Service, name);
+    let concluded = on_service(catalog, name).filter_map(|(name, experiment)| {
         let winner = experiment.winner.as_ref().filter(|_| experiment.stage == Stage::Concluded)?;
         let arm = experiment.arms.iter().find(|arm| arm.name == *winner)?;
         Some((revision(Kind::Experiment, name), Arc::clone(&arm.policy)))
     });
     let last = concluded.filter(|(at, _)| *at > changed).max_by_key(|(at, _)| *at);
-    let stated = || catalog.service(service).map(|service| Arc::clone(&service.policy));
-    last.map(|(_, policy)| policy).or_else(stated)
+    last.map_or_else(|| Arc::clone(&service.policy), |(_, policy)| policy)
 }
 
 /// What the arms have shown on this node.
--- a/crates/process/node/src/process/state.rs
+++ b/crates/process/node/src/process/state.rs
@@ -24,6 +24,7 @@
 use crate::process::upstreams::Chooser;
 use crate::process::upstreams::Upstreams;
 use crate::request::admission::Door;
+use crate::request::plan;
 use crate::request::ticket::Tickets;
 use admit::gate::Gate;
 use base::time::Time;
@@ -272,7 +273,7 @@
     fn admission(&self, service: &str) -> (Policy, u32) {
         let catalog = self.catalog();
         let Some(service) = catalog.service(service) else { return (Policy::default(), 1) };
-        let policy = catalog.policy(&service.policy).cloned().unwrap_or_default();
+        let policy = plan::policy(&catalog, &service.policy);
         let shards = catalog.map(&service.map).map_or(1, |map| map.groups.len());
         (policy, u32::try_from(shards).unwrap_or(u32::MAX).max(1))
     }
--- a/crates/process/node/src/request/answer.rs
+++ b/crates/process/node/src/request/answer.rs
@@ -209,8 +209,7 @@
         let assigned = experiments::assign(&catalog, name, caller, &self.id);
         let policy = match &assigned {
             Some(assigned) => Arc::clone(&assigned.policy),
-            None => experiments::governing(&catalog, name)
-                .unwrap_or_else(|| Arc::clone(&service.policy)),
+            None => experiments::governing(&catalog, name, service),
         };
         let rules = plan::policy(&catalog, &policy);
         let targets = process.upstreams.with(|table| plan::targets(table, &self.query));
