--- a/crates/process/base/src/entity.rs
+++ b/crates/process/base/src/entity.rs
@@ -21,3 +21,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Attempt(u32);
 entity_impl!(Attempt, "attempt");
+
+/// A service: one set of interchangeable servers.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Service(u32);
+entity_impl!(Service, "service");
--- /dev/null
+++ b/crates/process/entry/src/follow.rs
@@ -0,0 +1,214 @@
+//! Follows the registry: the configuration and the servers.
+//!
+//! Invariant: a version is never replaced by an older one.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::process::Process;
+use crate::source::Batch;
+use crate::source::Error;
+use crate::source::Event;
+use crate::source::Item;
+use crate::source::Kind;
+use crate::source::Node;
+use site::config::Config;
+use site::fleet;
+use site::fleet::Change;
+use site::snapshot::Snapshot;
+
+/// The longest time that a watch waits at the registry.
+const WATCH: Duration = Duration::from_secs(25);
+/// The pause after changes came, so that those that follow cost one call.
+const GATHER: Duration = Duration::from_millis(350);
+/// The pause after a failed call, doubled with each up to the longest.
+const PAUSE: Duration = Duration::from_millis(150);
+/// The longest pause after a failed call: a change must be in force within
+/// seconds of the registry's return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Follows one kind for as long as the process runs.
+pub(crate) async fn run(process: Rc<Process>, kind: Kind) {
+    let mut revision = None;
+    let mut failures = 0;
+    loop {
+        let call = match revision {
+            None => process.source.list(kind).await,
+            Some(revision) => process.source.watch(kind, revision, WATCH).await,
+        };
+        match call {
+            Ok(batch) => {
+                if failures > 0 {
+                    regained(&process, kind, failures);
+                }
+                failures = 0;
+                let changed = !batch.events.is_empty();
+                let whole = revision.is_none();
+                revision = Some(batch.revision);
+                take(&process, kind, batch, whole);
+                if changed {
+                    sleep(GATHER).await;
+                }
+            }
+            Err(Error::HistoryGone) => {
+                log::info!(target: "registry", kind:? = kind; "The history is gone; listing again.");
+                revision = None;
+            }
+            Err(error) => {
+                if failures == 0 {
+                    log::warn!(target: "registry", kind:? = kind, error:% = error; "The registry is lost.");
+                }
+                failures += 1;
+                sleep(pause(&process, failures)).await;
+            }
+        }
+    }
+}
+
+fn regained(process: &Process, kind: Kind, failures: u32) {
+    log::info!(target: "registry", kind:? = kind, failures; "The registry is back.");
+    process.fleet.borrow_mut().outage_ended(process.clock.now());
+}
+
+/// The pause after a number of failures in a row, a part of it at random so that
+/// nodes don't call at the same time.
+fn pause(process: &Process, failures: u32) -> Duration {
+    let doubled = (PAUSE * (1 << (failures - 1).min(4))).min(LONGEST_PAUSE);
+    doubled.mul_f64(0.5 + 0.5 * process.table.borrow_mut().draw())
+}
+
+fn take(process: &Process, kind: Kind, batch: Batch, whole: bool) {
+    let mut servers = Vec::new();
+    let mut changes = Vec::new();
+    let now = process.clock.now();
+    for event in batch.events {
+        match event {
+            Event::Put(Item::Config(config)) => install(process, &config),
+            Event::Put(Item::Server(entry)) if whole => servers.push(entry),
+            Event::Put(Item::Server(entry)) => {
+                changes.extend(process.fleet.borrow_mut().apply(now, fleet::Event::Put(entry)));
+            }
+            Event::Put(Item::Node(node)) => process.members.borrow_mut().learn(node.ip),
+            Event::Removed(name) if kind == Kind::Servers => {
+                changes.extend(process.fleet.borrow_mut().apply(now, fleet::Event::Removed(name)));
+            }
+            Event::Removed(name) => {
+                log::info!(target: "registry", kind:? = kind, name = name.as_ref(); "An object was removed.");
+            }
+            Event::Unreadable { name, reason } => {
+                log::warn!(target: "registry", kind:? = kind, name = name.as_ref(), reason = reason.as_str(); "An object is of no use.");
+                if kind == Kind::Servers && !whole {
+                    let removed = fleet::Event::Removed(name);
+                    changes.extend(process.fleet.borrow_mut().apply(now, removed));
+                }
+            }
+        }
+    }
+    if kind == Kind::Servers {
+        if whole {
+            changes.extend(process.fleet.borrow_mut().replace(now, servers));
+        }
+        process.servers_known.set(true);
+        apply(process, &changes);
+    }
+}
+
+/// Puts a version in force, unless a newer one is.
+fn install(process: &Process, config: &Config) {
+    let known = process.snapshot.borrow().as_ref().map(|snapshot| snapshot.version);
+    if known.is_some_and(|known| known >= config.version) {
+        return;
+    }
+    let snapshot = {
+        let mut table = process.table.borrow_mut();
+        for service in &config.services {
+            let reference = table.service(&service.name);
+            table.limit(reference, service.connections);
+        }
+        Snapshot::new(config, |name| table.service(name))
+    };
+    log::info!(target: "config", version = config.version, before:? = known, routes = config.routes.len(); "A version is in force.");
+    *process.snapshot.borrow_mut() = Some(Rc::new(snapshot));
+    share(process);
+}
+
+/// Forgets servers whose entries have been missing for long enough.
+pub(crate) async fn expire(process: Rc<Process>) {
+    loop {
+        sleep(EXPIRE_EVERY).await;
+        let changes = process.fleet.borrow_mut().expire(process.clock.now());
+        apply(&process, &changes);
+    }
+}
+
+/// The time between two looks at entries that are missing.
+const EXPIRE_EVERY: Duration = Duration::from_millis(200);
+
+/// Takes changes of the servers over into the table and the connections.
+fn apply(process: &Process, changes: &[Change]) {
+    let now = process.clock.now();
+    for change in changes {
+        if !matches!(change, Change::Up(_)) {
+            log::info!(target: "servers", change:? = change; "A server's state changed.");
+        }
+        let dropped = process.table.borrow_mut().apply(now, change);
+        if let Some(server) = dropped {
+            process.pool.retire(server);
+        }
+    }
+    if !changes.is_empty() {
+        share(process);
+    }
+}
+
+/// Deals the servers' connections and the budget of extra requests anew.
+pub(crate) fn share(process: &Process) {
+    let nodes = process.members.borrow().at_work(process.clock.now());
+    process.budget.borrow_mut().share(nodes);
+    let table = process.table.borrow();
+    for server in table.in_use() {
+        let record = table.record(server);
+        process.pool.place(server, record.address, table.connections(server), nodes + SPARE_NODES);
+        process.pool.warm(server);
+    }
+}
+
+/// Nodes that may join before their first beat is heard, and whose connections
+/// are kept free.
+const SPARE_NODES: u32 = 1;
+
+/// Registers this node and learns of the others.
+pub(crate) async fn meet(process: Rc<Process>) {
+    let settings = &process.settings;
+    let node = Node {
+        name: settings.name.clone(),
+        ip: settings.ip,
+        callers: settings.callers,
+        data_centre: settings.data_centre.clone(),
+    };
+    let mut failures = 0;
+    while let Err(error) = process.source.announce(&node).await {
+        failures += 1;
+        log::info!(target: "members", error:% = error, failures; "This node is not registered yet.");
+        sleep(pause(&process, failures)).await;
+    }
+    loop {
+        match process.source.list(Kind::Nodes).await {
+            Ok(batch) => {
+                take(&process, Kind::Nodes, batch, true);
+                sleep(MEET_EVERY).await;
+            }
+            Err(error) => {
+                failures += 1;
+                log::info!(target: "members", error:% = error; "The nodes were not listed.");
+                sleep(pause(&process, failures)).await;
+            }
+        }
+    }
+}
+
+/// The time between two lists of the registered nodes; beats tell of new ones
+/// meanwhile.
+const MEET_EVERY: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/crates/process/entry/src/front.rs
@@ -0,0 +1,90 @@
+//! Accepts callers' connections and hands their requests on.
+//!
+//! Invariant: a connection is not closed while a request on it runs. A node that
+//! leaves tells each caller with its next answer to close the connection, and
+//! closes idle ones itself only when no lookup names the node any more.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header;
+use hyper::http::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::process::Process;
+use crate::serve;
+use crate::upstream;
+
+/// The pause after a failed accept; the cause is most often a lack of file
+/// descriptors, which passes when others are closed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// The smallest buffer that the HTTP library takes for a header, in bytes.
+const LEAST_HEADER_BUFFER: usize = 8 << 10;
+/// Added to the idle timeout of callers' connections, so that the node is not
+/// the first to close one that a caller is about to use.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Accepts connections for as long as the process runs.
+pub(crate) async fn accept(
+    process: Rc<Process>,
+    listener: TcpListener,
+    connections: TaskTracker,
+    close: watch::Receiver<bool>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve(Rc::clone(&process), stream, close.clone());
+                connections.spawn_local(serving);
+            }
+            Err(error) => {
+                log::warn!(target: "front", error:% = error; "Accept failed.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(process: Rc<Process>, stream: TcpStream, mut close: watch::Receiver<bool>) {
+    let prepared = stream.set_nodelay(true).and_then(|()| upstream::watch_silence(&stream));
+    if let Err(error) = prepared {
+        log::debug!(target: "front", "Socket options were not set: {error}.");
+    }
+    let limits = process.snapshot.borrow().as_ref().map_or_else(Default::default, |s| s.limits);
+    let handler = Rc::clone(&process);
+    let service = service_fn(move |request| {
+        let process = Rc::clone(&handler);
+        async move {
+            let mut answer = serve::handle(Rc::clone(&process), request).await;
+            if process.leaving.get() {
+                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the time between two requests as well.
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_MARGIN)
+        .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        _ = close.wait_for(|close| *close) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(target: "front", "A connection ended early: {error}.");
+    }
+}
--- /dev/null
+++ b/crates/process/entry/src/lib.rs
@@ -0,0 +1,25 @@
+//! The serving side of an entry node: callers' requests, the servers behind
+//! them, the registry that says what there is, and the other nodes.
+//!
+//! One thread runs all of it; state is shared by reference count, and no borrow
+//! is held across an await. What names and formats are spoken outside is behind
+//! [`source::Source`] and [`protocol::Protocol`].
+
+#![deny(missing_docs)]
+
+pub mod clock;
+pub mod members;
+pub mod protocol;
+pub mod run;
+pub mod settings;
+pub mod source;
+
+mod beat;
+mod drive;
+mod exchange;
+mod follow;
+mod front;
+mod lookup;
+mod process;
+mod serve;
+pub mod upstream;
--- /dev/null
+++ b/crates/process/entry/src/lookup.rs
@@ -0,0 +1,87 @@
+//! Says which nodes callers should use, and whether this one is ready.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::http::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::members::Standing;
+use crate::process::Process;
+use crate::protocol::Lookup;
+use crate::serve;
+use crate::serve::Answer;
+
+/// The most addresses that one answer names.
+const MOST_ADDRESSES: usize = 64;
+/// How long callers keep an answer: a stopping node goes on accepting for longer.
+pub(crate) const KEEP: Duration = Duration::from_secs(2);
+
+/// Answers lookups and readiness questions on `listener`.
+pub(crate) async fn accept(process: Rc<Process>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(target: "lookup", error:% = error; "Accept failed.");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let process = Rc::clone(&process);
+        let service = service_fn(move |request| {
+            let answer = answer(&process, &request);
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        tokio::task::spawn_local(async move {
+            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                log::debug!(target: "lookup", "A connection ended early: {error}.");
+            }
+        });
+    }
+}
+
+fn answer(process: &Process, request: &Request<Incoming>) -> Answer {
+    if process.protocol.is_readiness(request.uri()) {
+        let status =
+            if process.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        return serve::refusal(status, None);
+    }
+    let Some(lookup) = process.protocol.lookup(request.uri()) else {
+        return serve::refusal(StatusCode::NOT_FOUND, None);
+    };
+    let addresses = addresses(process, &lookup);
+    if addresses.is_empty() {
+        return serve::refusal(StatusCode::SERVICE_UNAVAILABLE, None);
+    }
+    let body = process.protocol.addresses(&addresses, KEEP.min(process.settings.lookup_keep));
+    let mut answer = Answer::new(Full::new(Bytes::from(body)));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+/// The addresses of the ready nodes.
+fn addresses(process: &Process, _lookup: &Lookup) -> Vec<SocketAddr> {
+    let now = process.clock.now();
+    let members = process.members.borrow();
+    let ready = members.heard(now).filter(|(_, standing)| *standing == Standing::Ready);
+    let mut found: Vec<SocketAddr> = ready.map(|(member, _)| member.beat.callers).collect();
+    if process.is_ready() {
+        found.push(process.settings.callers);
+    }
+    found.truncate(MOST_ADDRESSES);
+    found
+}
--- /dev/null
+++ b/crates/process/entry/src/run.rs
@@ -0,0 +1,152 @@
+//! Starts a node, runs it, and stops it as planned.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio_util::task::TaskTracker;
+
+use crate::beat;
+use crate::clock::Clock;
+use crate::follow;
+use crate::front;
+use crate::lookup;
+use crate::members::Members;
+use crate::process::Paces;
+use crate::process::Process;
+use crate::protocol::Protocol;
+use crate::settings::Settings;
+use crate::source::Kind;
+use crate::source::Source;
+use crate::upstream::Pool;
+use replica::budget::Budget;
+use replica::table::Place;
+use replica::table::Table;
+use site::fleet;
+use site::fleet::Fleet;
+
+/// Why a node did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be listened at.
+    #[error("cannot listen at {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The operating system's word.
+        source: io::Error,
+    },
+    /// Signals can't be waited for.
+    #[error("cannot wait for signals: {0}")]
+    Signal(io::Error),
+}
+
+/// A stopping node accepts for this long after the answer of a lookup that
+/// named it has expired.
+const ACCEPT_AFTER_KEEP: Duration = Duration::from_millis(300);
+/// What is kept of the grace time for the exit itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
+}
+
+/// Runs a node until it is asked to stop and has stopped; needs a
+/// [`tokio::task::LocalSet`].
+pub async fn run(
+    settings: Settings,
+    protocol: Box<dyn Protocol>,
+    source: Box<dyn Source>,
+) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let callers = listen(settings.callers).await?;
+    let readiness = listen(settings.readiness).await?;
+    let lookups = match settings.lookups {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
+    let beats = SocketAddr::new(settings.ip, settings.peer_port);
+    let socket = UdpSocket::bind(beats).await;
+    let socket = Rc::new(socket.map_err(|source| Error::Listen { address: beats, source })?);
+    let process = Rc::new(process(settings, protocol, source));
+    log::info!(target: "node", name = process.settings.name.as_ref(), callers:% = process.settings.callers; "Started.");
+
+    let connections = TaskTracker::new();
+    let (close, closing) = watch::channel(false);
+    spawn_local(front::accept(Rc::clone(&process), callers, connections.clone(), closing));
+    spawn_local(lookup::accept(Rc::clone(&process), readiness));
+    if let Some(lookups) = lookups {
+        spawn_local(lookup::accept(Rc::clone(&process), lookups));
+    }
+    spawn_local(follow::run(Rc::clone(&process), Kind::Config));
+    spawn_local(follow::run(Rc::clone(&process), Kind::Servers));
+    spawn_local(follow::meet(Rc::clone(&process)));
+    spawn_local(follow::expire(Rc::clone(&process)));
+    spawn_local(beat::send(Rc::clone(&process), Rc::clone(&socket)));
+    spawn_local(beat::hear(Rc::clone(&process), socket));
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => log::info!(target: "node", "Asked to read the settings again; they only apply at a start."),
+        }
+    }
+    stop(&process, &connections, &close).await;
+    Ok(())
+}
+
+fn process(settings: Settings, protocol: Box<dyn Protocol>, source: Box<dyn Source>) -> Process {
+    let clock = Clock::new();
+    let mut rng = rand::rng();
+    let place =
+        Place { data_centre: settings.data_centre.clone(), regions: settings.regions.clone() };
+    let mut members = Members::new(settings.ip);
+    settings.seeds.iter().for_each(|seed| members.learn(*seed));
+    Process {
+        clock,
+        protocol,
+        source,
+        snapshot: RefCell::new(None),
+        fleet: RefCell::new(Fleet::new(fleet::Settings::default())),
+        table: RefCell::new(Table::new(place, rng.random())),
+        budget: RefCell::new(Budget::new(settings.extra)),
+        paces: RefCell::new(Paces::default()),
+        pool: Pool::new(clock),
+        members: RefCell::new(members),
+        servers_known: Cell::new(false),
+        leaving: Cell::new(false),
+        stop: Notify::new(),
+        life: rng.random(),
+        busy: Cell::new(0),
+        settings,
+    }
+}
+
+/// Leaves the lookups at once, goes on serving until no caller knows this node
+/// any more, and ends when the last request is answered.
+async fn stop(process: &Process, connections: &TaskTracker, close: &watch::Sender<bool>) {
+    log::info!(target: "node", busy = process.busy.get(), connections = connections.len(); "Stopping.");
+    process.leaving.set(true);
+    process.stop.notify_one();
+    let most = process.settings.grace.saturating_sub(EXIT_MARGIN);
+    let accept = (lookup::KEEP + ACCEPT_AFTER_KEEP).min(most);
+    sleep(accept).await;
+    // Receivers end with the connections, so nobody may be left to tell.
+    close.send_replace(true);
+    connections.close();
+    let ended = tokio::time::timeout(most.saturating_sub(accept), connections.wait()).await;
+    log::info!(target: "node", cut = process.busy.get(), in_time = ended.is_ok(); "Stopped.");
+}
--- /dev/null
+++ b/crates/process/entry/src/serve.rs
@@ -0,0 +1,226 @@
+//! Answers callers' requests: finds the route, runs the request, tells what came
+//! of it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::http::HeaderName;
+use hyper::http::HeaderValue;
+
+use crate::drive;
+use crate::exchange::Message;
+use crate::exchange::Reply;
+use crate::process::Process;
+use crate::protocol::Ask;
+use base::time::Time;
+use gather::event::Cause;
+use gather::event::Final;
+use gather::machine::Machine;
+use gather::merge;
+use gather::plan::Plan;
+use site::snapshot::Route;
+use site::snapshot::Snapshot;
+
+/// A reply whose body is held in memory.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// How long a caller is told to stay away when nothing more is known.
+const COME_BACK: Duration = Duration::from_millis(300);
+/// How long a caller is told to stay away from a node that knows no
+/// configuration yet.
+const COME_BACK_TO_START: Duration = Duration::from_millis(500);
+/// The way of a request from its caller, and of the answer back.
+const CALLER_WAY: Duration = Duration::from_millis(4);
+/// What is kept of the objective for the node's own work on an answer.
+const ANSWER_WORK: Duration = Duration::from_millis(5);
+/// What is kept of the time limit for the answer to be on its way.
+const LIMIT_MARGIN: Duration = Duration::from_millis(20);
+/// The patience that is assumed of a caller that tells none.
+const UNTOLD_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Headers that concern only one connection.
+const OWN_CONNECTION: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// Answers one request.
+pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
+    let arrived = process.clock.now();
+    let _busy = Busy::new(&process);
+    let Some(snapshot) = process.snapshot.borrow().clone() else {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK_TO_START));
+    };
+    let ask = process.protocol.ask(request.headers());
+    let Some(route) = route(&snapshot, &request) else {
+        return refusal(StatusCode::NOT_FOUND, None);
+    };
+    let Some(id) = ask.id.clone() else {
+        return refusal(StatusCode::BAD_REQUEST, None);
+    };
+    let (parts, body) = request.into_parts();
+    let body = match Limited::new(body, snapshot.limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return refusal(StatusCode::PAYLOAD_TOO_LARGE, None);
+        }
+        Err(_) => return refusal(StatusCode::BAD_REQUEST, None),
+    };
+    let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
+    let deadline = arrived + patience;
+    let mut headers = parts.headers;
+    strip(&mut headers);
+    let message =
+        Message { method: parts.method, uri: parts.uri, headers, body, id: id.clone(), deadline };
+    let pace = process.paces.borrow_mut().of(&route.name, route.objective);
+    let work = pace.borrow().mean();
+    let plan = plan(&process, &route, arrived, &ask, work);
+    let machine = Machine::new(plan);
+    let last = drive::run(&process, machine, Rc::new(message), pace).await;
+    answer(&process, &route, &id, last)
+}
+
+/// The route of a request.
+fn route(snapshot: &Snapshot, request: &Request<Incoming>) -> Option<Arc<Route>> {
+    let host = request.headers().get(header::HOST)?.to_str().ok()?;
+    let path = request.uri().path();
+    let bare = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    snapshot.route(host, path).or_else(|| snapshot.route(bare, path)).cloned()
+}
+
+/// The terms of a request that arrived at `arrived`.
+fn plan(process: &Process, route: &Route, arrived: Time, ask: &Ask, work: Duration) -> Plan {
+    let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
+    let draw = process.table.borrow_mut().draw();
+    let parts = route.plan.services(draw);
+    let least = match &route.plan {
+        site::snapshot::Plan::All { least, .. } => *least,
+        site::snapshot::Plan::One(_) => parts.len(),
+    };
+    let limit = patience.min(route.timeout).saturating_sub(LIMIT_MARGIN);
+    // A caller that comes back has less patience than the route's timeout, and
+    // has spent the difference of its objective.
+    let spent = route.timeout.saturating_sub(patience).min(route.objective);
+    let left = route.objective.saturating_sub(spent + CALLER_WAY * 2 + ANSWER_WORK);
+    Plan {
+        parts,
+        least,
+        idempotent: route.idempotent,
+        attempts: route.attempts,
+        objective: arrived + left,
+        limit: arrived + limit,
+        work,
+    }
+}
+
+/// Takes out what concerns only the caller's connection.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in OWN_CONNECTION.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove(header::EXPECT);
+    headers.remove(header::CONTENT_LENGTH);
+}
+
+/// What the caller is told.
+fn answer(process: &Process, route: &Route, id: &HeaderValue, last: Final<Reply>) -> Answer {
+    match last {
+        Final::Answer { replies, missing } => match &route.plan {
+            site::snapshot::Plan::All { top, .. } => cover(process, &replies, missing, *top),
+            site::snapshot::Plan::One(_) => match replies.into_iter().next() {
+                Some(reply) => pass(reply),
+                None => refusal(StatusCode::BAD_GATEWAY, None),
+            },
+        },
+        Final::Failure(reply) => pass(reply),
+        Final::NotRun(cause) => {
+            log::info!(target: "request", id:? = id, route = route.name.as_ref(), cause:? = cause; "Refused, not run.");
+            refusal(StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK))
+        }
+        Final::Unknown(cause) => {
+            log::info!(target: "request", id:? = id, route = route.name.as_ref(), cause:? = cause; "No answer; it may have run.");
+            let status = match cause {
+                Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
+                Cause::NoServer | Cause::Refused | Cause::Failed => StatusCode::BAD_GATEWAY,
+            };
+            refusal(status, None)
+        }
+    }
+}
+
+/// A server's own reply, unchanged.
+fn pass(reply: Reply) -> Answer {
+    let mut headers = reply.parts.headers.clone();
+    strip(&mut headers);
+    let mut answer = Response::new(Full::new(reply.body));
+    *answer.status_mut() = reply.parts.status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+/// One answer over several services.
+fn cover(process: &Process, replies: &[Reply], missing: usize, top: usize) -> Answer {
+    let body = merge::greatest(replies.iter().map(|reply| reply.body.as_ref()), top);
+    let proofs: Vec<HeaderValue> =
+        replies.iter().filter_map(|reply| reply.facts.proof.clone()).collect();
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    process.protocol.cover(answer.headers_mut(), &proofs, missing);
+    answer
+}
+
+/// An answer of our own, with when to come back.
+pub(crate) fn refusal(status: StatusCode, come_back: Option<Duration>) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = status;
+    if let Some(after) = come_back
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
+    {
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// Counts a request while it runs.
+struct Busy(Rc<Process>);
+
+impl Busy {
+    fn new(process: &Rc<Process>) -> Self {
+        add(&process.busy, 1);
+        Self(Rc::clone(process))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        add(&self.0.busy, -1);
+    }
+}
+
+fn add(count: &Cell<usize>, by: isize) {
+    count.set(count.get().saturating_add_signed(by));
+}
--- /dev/null
+++ b/crates/process/entry/src/upstream.rs
@@ -0,0 +1,308 @@
+//! Connections to upstream servers: a share of each server's cap, a first one
+//! opened ahead, and each used for one request at a time.
+//!
+//! Invariant: a connection whose last reply was not read to its end is closed
+//! and never used again.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use crate::process::ByServer;
+use base::entity::Server;
+use base::time::Time;
+use pool::lane::Connection;
+use pool::lane::Lane;
+
+/// The longest time to open a connection: ways between regions and a busy
+/// server's handshake take a tenth of it.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// The requests of one node that may wait for a connection to one server.
+const MOST_WAITING: usize = 16;
+/// Connections of one node to one server until the cap is known.
+const DEFAULT_SHARE: u32 = 2;
+/// The most connections of one node to one server, whatever the cap.
+const MOST_SHARE: u32 = 12;
+/// A connection is not used again this long before the server closes it.
+const KEEP_MARGIN: Duration = Duration::from_millis(700);
+/// Unacknowledged data closes a connection after this time, in milliseconds.
+const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The idle time before the first keep-alive probe, and between probes.
+const PROBE_EVERY: Duration = Duration::from_secs(2);
+/// Probes without an answer that close a connection.
+const PROBES: u32 = 2;
+/// The pause after a connection could not be opened.
+const CONNECT_PAUSE: Duration = Duration::from_millis(250);
+
+/// The sending side of an open connection.
+pub(crate) struct Link {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Until when the server keeps it open without a request.
+    pub(crate) good_until: Time,
+    task: AbortHandle,
+}
+
+type Door = Rc<RefCell<Lane<Link, oneshot::Sender<(Connection, Link)>>>>;
+
+/// One server's connections.
+#[derive(Clone)]
+struct Place {
+    door: Door,
+    address: SocketAddr,
+    /// Until when no connection is opened.
+    closed_until: Rc<std::cell::Cell<Time>>,
+}
+
+/// Why no connection was had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Too many requests wait already, or the server is out of use.
+    Full,
+    /// No connection could be opened.
+    Unreachable,
+}
+
+/// The connections of a process.
+pub(crate) struct Pool {
+    clock: crate::clock::Clock,
+    places: RefCell<ByServer<Option<Place>>>,
+}
+
+impl Pool {
+    pub(crate) fn new(clock: crate::clock::Clock) -> Self {
+        Self { clock, places: RefCell::new(ByServer::new()) }
+    }
+
+    /// Sets a server's address and this node's part of its connections.
+    pub(crate) fn place(&self, server: Server, address: SocketAddr, cap: Option<u32>, nodes: u32) {
+        let share = cap.map_or(DEFAULT_SHARE, |cap| (cap / nodes.max(1)).clamp(1, MOST_SHARE));
+        let mut places = self.places.borrow_mut();
+        let place = places[server].get_or_insert_with(|| Place {
+            door: Rc::new(RefCell::new(Lane::new(share, MOST_WAITING))),
+            address,
+            closed_until: Rc::default(),
+        });
+        let surplus = place.door.borrow_mut().resize(share);
+        surplus.iter().for_each(|link| link.task.abort());
+    }
+
+    /// Closes a server's idle connections for good; busy ones close after their
+    /// reply.
+    pub(crate) fn retire(&self, server: Server) {
+        if let Some(place) = self.places.borrow_mut()[server].take() {
+            let (links, _) = place.door.borrow_mut().retire();
+            links.iter().for_each(|link| link.task.abort());
+        }
+    }
+
+    /// Opens a first connection ahead of the first request.
+    pub(crate) fn warm(&self, server: Server) {
+        let places = self.places.borrow();
+        let Some(place) = &places[server] else { return };
+        if self.clock.now() < place.closed_until.get() {
+            return;
+        }
+        let begun = place.door.borrow_mut().begin(1);
+        if let Some(id) = begun {
+            tokio::task::spawn_local(open(self.clock, Opening::new(place, id)));
+        }
+    }
+
+    /// A connection to `server`: an idle one, or the first that becomes free.
+    pub(crate) async fn lease(&self, server: Server) -> Result<Lease, Failure> {
+        let (door, grant) = {
+            let places = self.places.borrow();
+            let Some(place) = &places[server] else { return Err(Failure::Full) };
+            let door = Rc::clone(&place.door);
+            while let Some((id, link)) = {
+                let idle = door.borrow_mut().newest();
+                idle
+            } {
+                if !link.sender.is_closed() && self.clock.now() < link.good_until {
+                    return Ok(Lease { door, id, link: Some(link), whole: false });
+                }
+                link.task.abort();
+                door.borrow_mut().free(id);
+            }
+            if door.borrow().open() == 0 && self.clock.now() < place.closed_until.get() {
+                return Err(Failure::Unreachable);
+            }
+            let (sender, grant) = oneshot::channel();
+            let waiter = door.borrow_mut().wait(sender).map_err(|_| Failure::Full)?;
+            let begun = door.borrow_mut().begin(0);
+            if let Some(id) = begun {
+                tokio::task::spawn_local(open(self.clock, Opening::new(place, id)));
+            }
+            (Leave { door, waiter }, grant)
+        };
+        let granted = grant.await;
+        match granted {
+            Ok((id, link)) => {
+                Ok(Lease { door: Rc::clone(&door.door), id, link: Some(link), whole: false })
+            }
+            Err(_) => Err(Failure::Unreachable),
+        }
+    }
+}
+
+/// Takes a waiter out of the line when it is served or gives up.
+struct Leave {
+    door: Door,
+    waiter: pool::lane::Waiter,
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        self.door.borrow_mut().leave(self.waiter);
+    }
+}
+
+/// A connection on loan for one request.
+pub(crate) struct Lease {
+    door: Door,
+    id: Connection,
+    link: Option<Link>,
+    whole: bool,
+}
+
+impl Lease {
+    /// The connection.
+    pub(crate) fn link(&mut self) -> Option<&mut Link> {
+        self.link.as_mut()
+    }
+
+    /// Notes that the reply was read to its end, so that the connection may be
+    /// used again.
+    pub(crate) fn finish(&mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let Some(link) = self.link.take() else { return };
+        if self.whole && !link.sender.is_closed() {
+            give(&self.door, self.id, link);
+        } else {
+            link.task.abort();
+            self.door.borrow_mut().free(self.id);
+        }
+    }
+}
+
+/// Hands a free connection to who waits for one, or lets it rest.
+fn give(door: &Door, id: Connection, mut link: Link) {
+    loop {
+        let waiter = door.borrow_mut().pair(id);
+        let Some(waiter) = waiter else { break };
+        match waiter.send((id, link)) {
+            Ok(()) => return,
+            Err((_, returned)) => link = returned,
+        }
+    }
+    let refused = door.borrow_mut().rest(id, link);
+    if let Some(link) = refused {
+        link.task.abort();
+        door.borrow_mut().free(id);
+    }
+}
+
+/// A connection that is being opened; its place is freed if it is not.
+struct Opening {
+    door: Door,
+    id: Connection,
+    address: SocketAddr,
+    closed_until: Rc<std::cell::Cell<Time>>,
+    opened: bool,
+}
+
+impl Opening {
+    fn new(place: &Place, id: Connection) -> Self {
+        let closed_until = Rc::clone(&place.closed_until);
+        Self {
+            door: Rc::clone(&place.door),
+            id,
+            address: place.address,
+            closed_until,
+            opened: false,
+        }
+    }
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        if !self.opened {
+            self.door.borrow_mut().free(self.id);
+        }
+    }
+}
+
+async fn open(clock: crate::clock::Clock, mut opening: Opening) {
+    let opened = timeout(CONNECT_LIMIT, connect(opening.address)).await;
+    let failure = match opened {
+        Ok(Ok((sender, connection))) => {
+            opening.opened = true;
+            let (door, id) = (Rc::clone(&opening.door), opening.id);
+            let ended = Rc::clone(&opening.door);
+            let task = tokio::task::spawn_local(async move {
+                if let Err(error) = connection.await {
+                    log::debug!(target: "upstream", "Connection closed: {error}.");
+                }
+                ended.borrow_mut().free(id);
+            });
+            let good_until = clock.now() + UNTOLD_KEEP;
+            give(&door, id, Link { sender, good_until, task: task.abort_handle() });
+            return;
+        }
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => format!("not opened within {} ms", CONNECT_LIMIT.as_millis()),
+    };
+    log::info!(target: "upstream", address:% = opening.address, error = failure.as_str(); "Connect failed.");
+    opening.closed_until.set(clock.now() + CONNECT_PAUSE);
+    // Whoever waits is told, unless another connection may serve them.
+    if opening.door.borrow().open() <= 1 {
+        while opening.door.borrow_mut().call().is_some() {}
+    }
+}
+
+/// How long a connection is used if the server does not tell its idle timeout.
+pub(crate) const UNTOLD_KEEP: Duration = Duration::from_secs(3600);
+
+/// The time until which a server keeps a connection that it promised to keep for
+/// `told`.
+pub(crate) fn keep(now: Time, told: Duration) -> Time {
+    now + told.saturating_sub(KEEP_MARGIN)
+}
+
+type Opened = (SendRequest<Full<Bytes>>, http1::Connection<TokioIo<TcpStream>, Full<Bytes>>);
+
+async fn connect(address: SocketAddr) -> Result<Opened, Box<dyn std::error::Error>> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    watch_silence(&stream)?;
+    Ok(http1::handshake(TokioIo::new(stream)).await?)
+}
+
+/// Makes the operating system close a connection whose other end is silent.
+pub fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = socket2::SockRef::from(stream);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PROBE_EVERY)
+        .with_interval(PROBE_EVERY)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- a/crates/process/node/src/lib.rs
+++ b/crates/process/node/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod connection;
+pub mod journal;
 pub mod logging;
 pub mod metrics;
 pub mod options;
--- a/crates/process/node/src/main.rs
+++ b/crates/process/node/src/main.rs
@@ -7,10 +7,13 @@
 
 use conf::settings;
 use conf::settings::Node;
+use node::journal;
 use node::logging;
 use node::options;
 use node::options::Command;
 use node::process::run;
+use platform::headers::Headers;
+use platform::store::Store;
 
 /// The exit code of a command line that can't be followed.
 const USAGE: u8 = 2;
@@ -28,6 +31,7 @@
         }
         Ok(Command::Check(file)) => check(&file),
         Ok(Command::Run(file)) => start(&file),
+        Ok(Command::Serve) => serve(),
         Err(error) => {
             eprintln!("heatherseam: {error}");
             ExitCode::from(USAGE)
@@ -80,3 +84,42 @@
         }
     }
 }
+
+/// Runs a node on the platform: one thread, logs as JSON lines.
+fn serve() -> ExitCode {
+    let Some(path) = std::env::var_os(platform::settings::PATH_VARIABLE) else {
+        eprintln!("heatherseam: {} names no settings file", platform::settings::PATH_VARIABLE);
+        return ExitCode::from(USAGE);
+    };
+    let settings = match platform::settings::load(Path::new(&path)) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{:?}", Report::new(report));
+            return ExitCode::from(FAULTS);
+        }
+    };
+    let _log = match journal::start(Box::new(std::io::stdout())) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("heatherseam: the log can't be started: {error}");
+            return ExitCode::from(FAILED);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("heatherseam: {error}");
+            return ExitCode::from(FAILED);
+        }
+    };
+    let source = Box::new(Store::new(settings.registry));
+    let running = entry::run::run(settings, Box::new(Headers), source);
+    match tokio::task::LocalSet::new().block_on(&runtime, running) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("heatherseam: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
--- a/crates/process/node/src/options.rs
+++ b/crates/process/node/src/options.rs
@@ -9,6 +9,8 @@
 pub enum Command {
     /// Run an entry node with the settings of this file.
     Run(PathBuf),
+    /// Run an entry node on the platform, which names the settings file.
+    Serve,
     /// Check this settings file and exit.
     Check(PathBuf),
     /// Print this text and exit.
@@ -43,13 +45,17 @@
     let options = options();
     let matches = options.parse(arguments).map_err(|error| Error::Option(error.to_string()))?;
     if matches.opt_present("help") {
-        let brief = "Usage: heatherseam --settings FILE | --check FILE\n\n\
-                     An entry node of the heatherseam query tier.";
+        let brief = "Usage: heatherseam --settings FILE | --check FILE | serve\n\n\
+                     An entry node of the heatherseam query tier. `serve` runs it on the\n\
+                     platform, whose settings file the environment names.";
         return Ok(Command::Print(options.usage(brief)));
     }
     if matches.opt_present("version") {
         return Ok(Command::Print(format!("heatherseam {}\n", env!("CARGO_PKG_VERSION"))));
     }
+    if matches.free == ["serve"] {
+        return Ok(Command::Serve);
+    }
     if let Some(extra) = matches.free.first() {
         return Err(Error::Extra(extra.clone()));
     }
--- /dev/null
+++ b/crates/request/gather/src/event.rs
@@ -0,0 +1,118 @@
+//! What a machine is told and what it asks for.
+
+use std::time::Duration;
+
+use base::entity::Attempt;
+use base::entity::Server;
+use base::entity::Service;
+use base::time::Time;
+use replica::table::Choice;
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event<R> {
+    /// The request begins.
+    Start,
+    /// A whole and proved answer came.
+    Answered {
+        /// The attempt.
+        attempt: Attempt,
+        /// The answer.
+        reply: R,
+    },
+    /// An attempt ended otherwise.
+    Ended {
+        /// The attempt.
+        attempt: Attempt,
+        /// How.
+        end: End<R>,
+    },
+    /// The time of the last [`Action::Wake`] has come.
+    Timer,
+}
+
+/// How an attempt ended without an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End<R> {
+    /// The request never left this node.
+    NotSent,
+    /// The server certified that it did not run it.
+    Refused,
+    /// The server ran it and failed; holds its whole reply.
+    Failed(R),
+    /// It may have run.
+    Unknown,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action<R> {
+    /// Ask a server.
+    Send {
+        /// Names the attempt.
+        attempt: Attempt,
+        /// The service.
+        service: Service,
+        /// Its server.
+        server: Server,
+        /// Whether it is beyond the first to this service, and was paid for from
+        /// the budget.
+        extra: bool,
+    },
+    /// Deliver [`Event::Timer`] at this time; replaces the time asked for before.
+    Wake(Time),
+    /// Tell the caller.
+    Finish(Final<R>),
+}
+
+/// The last word on a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final<R> {
+    /// Enough services answered.
+    Answer {
+        /// The answers, in the order of the services.
+        replies: Vec<R>,
+        /// Services without an answer.
+        missing: usize,
+    },
+    /// The only service's server failed; its reply is passed on.
+    Failure(R),
+    /// It has not run and never will.
+    NotRun(Cause),
+    /// There is no answer; it may have run.
+    Unknown(Cause),
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No server of a service that is needed is known or reachable.
+    NoServer,
+    /// The servers refused it.
+    Refused,
+    /// The servers failed.
+    Failed,
+    /// The time is up.
+    Timeout,
+}
+
+/// What the machine is advised by.
+pub trait Advice {
+    /// The server of `service` that is best asked, none of `tried`.
+    fn choose(
+        &mut self,
+        now: Time,
+        service: Service,
+        work: Duration,
+        tried: &[Server],
+    ) -> Option<Choice>;
+
+    /// Counts the first send to `service`.
+    fn first(&mut self, now: Time, service: Service);
+
+    /// Takes a send beyond the first from the budget.
+    fn extra(&mut self, now: Time, service: Service) -> bool;
+
+    /// Gives back an extra send that never reached a server.
+    fn give_back(&mut self, now: Time, service: Service);
+}
--- /dev/null
+++ b/crates/request/gather/src/machine.rs
@@ -0,0 +1,297 @@
+//! The state machine of one request.
+//!
+//! Invariants: a request that must not run twice is sent again only after it
+//! certainly did not run. A service's answer is taken once. The last word is
+//! said once, as soon as nothing that is still awaited can improve it, and by
+//! the plan's limit at the latest.
+
+use std::time::Duration;
+
+use crate::event::Action;
+use crate::event::Advice;
+use crate::event::Cause;
+use crate::event::End;
+use crate::event::Event;
+use crate::event::Final;
+use crate::plan::Plan;
+use crate::plan::REFUSED_PAUSE;
+use crate::slot::Slot;
+use crate::slot::State;
+use crate::slot::Tries;
+use crate::slot::Try;
+use base::entity::Attempt;
+use base::time::Time;
+
+/// Why a further server is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    First,
+    /// The last attempt ended without an answer.
+    Retry,
+    /// The last attempt takes long.
+    Hedge,
+}
+
+/// The most sends to one service that did not run there: beyond them it is
+/// taken as lost, however much budget is left.
+const MOST_SENDS: usize = 8;
+
+/// One request.
+#[derive(Debug)]
+pub struct Machine<R> {
+    plan: Plan,
+    slots: Vec<Slot<R>>,
+    tries: Tries,
+    open: usize,
+    covered: usize,
+    wake: Time,
+    cause: Cause,
+    done: bool,
+}
+
+impl<R> Machine<R> {
+    /// A request that waits for [`Event::Start`].
+    pub fn new(plan: Plan) -> Self {
+        let parts = plan.parts.len();
+        Self {
+            plan,
+            slots: (0..parts).map(|_| Slot::new()).collect(),
+            tries: Tries::with_capacity(parts + parts / 4),
+            open: parts,
+            covered: 0,
+            wake: Time::NEVER,
+            cause: Cause::NoServer,
+            done: false,
+        }
+    }
+
+    /// What it is run by.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Whether the last word is said.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// The positions of the services without an answer.
+    pub fn missing(&self) -> impl Iterator<Item = usize> {
+        let covered = |slot: &Slot<R>| matches!(slot.state, State::Covered(_));
+        self.slots.iter().enumerate().filter(move |(_, slot)| !covered(slot)).map(|(at, _)| at)
+    }
+
+    /// Attempts made so far.
+    pub fn sends(&self) -> usize {
+        self.tries.len()
+    }
+
+    /// Handles one event; what is to be done is added to `actions`.
+    pub fn handle(
+        &mut self,
+        now: Time,
+        event: Event<R>,
+        advice: &mut dyn Advice,
+        actions: &mut Vec<Action<R>>,
+    ) {
+        if self.done {
+            return;
+        }
+        match event {
+            Event::Start => {
+                for slot in 0..self.slots.len() {
+                    self.ask(now, slot, Turn::First, advice, actions);
+                }
+            }
+            Event::Answered { attempt, reply } => self.answered(attempt, reply),
+            Event::Ended { attempt, end } => self.ended(now, attempt, end, advice, actions),
+            Event::Timer => self.timer(now, advice, actions),
+        }
+        self.settle(now, actions);
+    }
+
+    /// Asks one more server for a slot, if one may be asked.
+    fn ask(
+        &mut self,
+        now: Time,
+        at: usize,
+        turn: Turn,
+        advice: &mut dyn Advice,
+        actions: &mut Vec<Action<R>>,
+    ) {
+        let service = self.plan.parts[at];
+        let slot = &mut self.slots[at];
+        slot.alarm = Time::NEVER;
+        if slot.ran >= self.plan.attempts || slot.tried.len() >= MOST_SENDS {
+            return self.lose(at);
+        }
+        let Some(choice) = advice.choose(now, service, self.plan.work, &slot.tried) else {
+            return self.none_left(now, at, turn);
+        };
+        let extra = slot.reached || turn == Turn::Hedge;
+        if extra && !advice.extra(now, service) {
+            return self.lose(at);
+        }
+        if !extra && turn == Turn::First {
+            advice.first(now, service);
+        }
+        slot.tried.push(choice.server);
+        slot.live += 1;
+        slot.ran += 1;
+        if self.plan.idempotent {
+            slot.alarm = self.plan.hedge(now, choice.expected);
+        }
+        let attempt = self.tries.push(Try { slot: at, extra, live: true });
+        actions.push(Action::Send { attempt, service, server: choice.server, extra });
+    }
+
+    /// All servers of a slot were asked: those that refused may be asked again.
+    fn none_left(&mut self, now: Time, at: usize, turn: Turn) {
+        let slot = &mut self.slots[at];
+        let refused = slot.live == 0 && slot.ran == 0 && slot.reached;
+        let again = now + REFUSED_PAUSE;
+        if turn != Turn::Hedge && refused && again < self.plan.objective {
+            slot.tried.clear();
+            slot.alarm = again;
+            return;
+        }
+        self.lose(at);
+    }
+
+    /// Gives a slot up unless an attempt may still answer.
+    fn lose(&mut self, at: usize) {
+        let slot = &mut self.slots[at];
+        if slot.is_open() && slot.live == 0 {
+            slot.state = State::Lost;
+            self.open -= 1;
+        }
+    }
+
+    fn answered(&mut self, attempt: Attempt, reply: R) {
+        let Some(at) = self.end(attempt) else { return };
+        let slot = &mut self.slots[at];
+        slot.reached = true;
+        if slot.is_open() {
+            slot.state = State::Covered(reply);
+            slot.alarm = Time::NEVER;
+            self.open -= 1;
+            self.covered += 1;
+        }
+    }
+
+    /// Marks an attempt as ended; gives its slot.
+    fn end(&mut self, attempt: Attempt) -> Option<usize> {
+        let entry = self.tries.get_mut(attempt)?;
+        if !std::mem::replace(&mut entry.live, false) {
+            return None;
+        }
+        let at = entry.slot;
+        self.slots[at].live -= 1;
+        Some(at)
+    }
+
+    fn ended(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        end: End<R>,
+        advice: &mut dyn Advice,
+        actions: &mut Vec<Action<R>>,
+    ) {
+        let Some(at) = self.end(attempt) else { return };
+        let extra = self.tries[attempt].extra;
+        let service = self.plan.parts[at];
+        let slot = &mut self.slots[at];
+        match end {
+            End::NotSent => {
+                slot.ran -= 1;
+                self.cause = Cause::NoServer;
+                if extra {
+                    advice.give_back(now, service);
+                }
+            }
+            End::Refused => {
+                slot.ran -= 1;
+                slot.reached = true;
+                self.cause = Cause::Refused;
+            }
+            End::Failed(reply) => {
+                slot.reached = true;
+                slot.failure = Some(reply);
+                self.cause = Cause::Failed;
+            }
+            End::Unknown => {
+                slot.reached = true;
+                self.cause = Cause::Failed;
+            }
+        }
+        if !slot.is_open() || slot.live > 0 {
+            return;
+        }
+        if !self.plan.idempotent && slot.ran > 0 {
+            return self.lose(at);
+        }
+        self.ask(now, at, Turn::Retry, advice, actions);
+    }
+
+    fn timer(&mut self, now: Time, advice: &mut dyn Advice, actions: &mut Vec<Action<R>>) {
+        self.wake = Time::NEVER;
+        for at in 0..self.slots.len() {
+            let slot = &self.slots[at];
+            if slot.is_open() && slot.alarm <= now {
+                let turn = if slot.live > 0 { Turn::Hedge } else { Turn::Retry };
+                self.ask(now, at, turn, advice, actions);
+            }
+        }
+    }
+
+    /// Says the last word if it is time, else asks to be woken.
+    fn settle(&mut self, now: Time, actions: &mut Vec<Action<R>>) {
+        let enough = self.covered >= self.plan.least;
+        let hopeless = self.covered + self.open < self.plan.least;
+        let late = now >= self.plan.objective && enough;
+        if self.open == 0 || hopeless || late || now >= self.plan.limit {
+            if now >= self.plan.limit && !enough {
+                self.cause = Cause::Timeout;
+            }
+            return self.finish(actions);
+        }
+        let mut next = self.plan.limit;
+        if now < self.plan.objective {
+            next = next.min(self.plan.objective);
+        }
+        let open = self.slots.iter().filter(|slot| slot.is_open());
+        next = open.map(|slot| slot.alarm).fold(next, Time::min);
+        if next != self.wake {
+            self.wake = next;
+            actions.push(Action::Wake(next));
+        }
+    }
+
+    fn finish(&mut self, actions: &mut Vec<Action<R>>) {
+        self.done = true;
+        let missing = self.slots.len() - self.covered;
+        let may_have_run = self.slots.iter().any(|slot| slot.ran > 0);
+        let mut failure = None;
+        let mut replies = Vec::with_capacity(self.covered);
+        for slot in &mut self.slots {
+            match std::mem::replace(&mut slot.state, State::Lost) {
+                State::Covered(reply) => replies.push(reply),
+                State::Open | State::Lost => failure = failure.or(slot.failure.take()),
+            }
+        }
+        let last = if replies.len() >= self.plan.least {
+            Final::Answer { replies, missing }
+        } else if self.slots.len() == 1 && failure.is_some() {
+            failure.map_or(Final::Unknown(self.cause), Final::Failure)
+        } else if may_have_run {
+            Final::Unknown(self.cause)
+        } else {
+            Final::NotRun(self.cause)
+        };
+        actions.push(Action::Finish(last));
+    }
+}
+
+/// The time that is kept for the way back of an answer to the caller.
+pub const WAY_BACK: Duration = Duration::from_millis(3);
--- /dev/null
+++ b/crates/request/gather/src/plan.rs
@@ -0,0 +1,50 @@
+//! What a request is run by; fixed before its first send.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::entity::Service;
+use base::time::Time;
+
+/// The terms of one request.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The services to ask, each once at least.
+    pub parts: Arc<[Service]>,
+    /// The fewest of them that an answer must cover.
+    pub least: usize,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// The most servers of one service that may run it.
+    pub attempts: u32,
+    /// When an answer must be given to have its full worth; an incomplete one
+    /// is given then if it covers enough.
+    pub objective: Time,
+    /// When the last word must be said.
+    pub limit: Time,
+    /// The usual time of the route's requests at a server.
+    pub work: Duration,
+}
+
+/// A request is asked of a second server after this multiple of the time that
+/// the first one was expected to take.
+const HEDGE_FACTOR: f64 = 2.0;
+/// Added to that time: what a node and a server may lose to other work.
+const HEDGE_SLACK: Duration = Duration::from_millis(8);
+/// The latest hedge, as a part of the time from the start to the objective: what
+/// is left must do for a way to another region and the work.
+const HEDGE_LATEST: f64 = 0.42;
+/// How long a service whose servers all refused is left alone.
+pub const REFUSED_PAUSE: Duration = Duration::from_millis(25);
+
+impl Plan {
+    /// When an attempt that is made `now` and expected to take `expected` is
+    /// asked elsewhere as well.
+    pub fn hedge(&self, now: Time, expected: Duration) -> Time {
+        let usual = now + expected.mul_f64(HEDGE_FACTOR) + HEDGE_SLACK;
+        if self.objective <= now {
+            return usual;
+        }
+        usual.min(now + self.objective.since(now).mul_f64(HEDGE_LATEST))
+    }
+}
--- /dev/null
+++ b/crates/version/replica/src/lib.rs
@@ -0,0 +1,9 @@
+//! Which server of a service gets a request: what this node has seen of each
+//! server, the choice among them, and the budget of extra requests. No I/O.
+
+#![deny(missing_docs)]
+
+pub mod budget;
+pub mod pace;
+pub mod record;
+pub mod table;
--- /dev/null
+++ b/crates/version/site/src/lib.rs
@@ -0,0 +1,9 @@
+//! What a deployment consists of, as one node believes it: the routes of the
+//! newest configuration and the registered servers. No I/O.
+
+#![deny(missing_docs)]
+
+pub mod config;
+pub mod fleet;
+pub mod register;
+pub mod snapshot;
