--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -126,10 +126,7 @@
             let places = self.places.borrow();
             let Some(place) = &places[server] else { return Err(Failure::Full) };
             let door = Rc::clone(&place.door);
-            while let Some((id, link)) = {
-                let idle = door.borrow_mut().newest();
-                idle
-            } {
+            while let Some((id, link)) = newest(&door) {
                 if !link.sender.is_closed() && self.clock.now() < link.good_until {
                     return Ok(Lease { door, id, link: Some(link), whole: false });
                 }
@@ -157,6 +154,11 @@
     }
 }
 
+/// The idle connection that was used last.
+fn newest(door: &Door) -> Option<(Connection, Link)> {
+    door.borrow_mut().newest()
+}
+
 /// Takes a waiter out of the line when it is served or gives up.
 struct Leave {
     door: Door,
