--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -56,6 +56,10 @@
         self.budget.first(now, service);
     }
 
+    fn spent(&mut self, now: Time, service: Service) -> f64 {
+        self.budget.spent(now, service)
+    }
+
     fn extra(&mut self, now: Time, service: Service) -> bool {
         self.budget.extra(now, service)
     }
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -1,8 +1,10 @@
 //! Says which nodes callers should use, and whether this one is ready.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -73,15 +75,38 @@
     answer
 }
 
-/// The addresses of the ready nodes.
-fn addresses(process: &Process, _lookup: &Lookup) -> Vec<SocketAddr> {
+/// The addresses of the ready nodes nearest to the caller.
+fn addresses(process: &Process, lookup: &Lookup) -> Vec<SocketAddr> {
     let now = process.clock.now();
     let members = process.members.borrow();
     let ready = members.heard(now).filter(|(_, standing)| *standing == Standing::Ready);
-    let mut found: Vec<SocketAddr> = ready.map(|(member, _)| member.beat.callers).collect();
+    let mut nodes: Vec<(SocketAddr, Arc<str>)> = ready
+        .map(|(member, _)| (member.beat.callers, Arc::clone(&member.beat.data_centre)))
+        .collect();
     if process.is_ready() {
-        found.push(process.settings.callers);
+        let settings = &process.settings;
+        nodes.push((settings.callers, Arc::clone(&settings.data_centre)));
     }
+    let mut found = nearest(&nodes, lookup, &process.settings.regions);
     found.truncate(MOST_ADDRESSES);
     found
 }
+
+/// Those of `nodes` that are in the caller's data centre; where there is none,
+/// those in its region; where there is none either, all.
+fn nearest(
+    nodes: &[(SocketAddr, Arc<str>)],
+    lookup: &Lookup,
+    regions: &HashMap<Arc<str>, Arc<str>>,
+) -> Vec<SocketAddr> {
+    let here = |data_centre: &Arc<str>| lookup.data_centre.as_deref() == Some(&**data_centre);
+    let near = |data_centre: &Arc<str>| {
+        lookup.region.is_some() && lookup.region.as_deref() == regions.get(data_centre).map(|r| &**r)
+    };
+    let all = |_: &Arc<str>| true;
+    let rings: [&dyn Fn(&Arc<str>) -> bool; 3] = [&here, &near, &all];
+    let within = |ring: &dyn Fn(&Arc<str>) -> bool| -> Vec<SocketAddr> {
+        nodes.iter().filter(|(_, place)| ring(place)).map(|(address, _)| *address).collect()
+    };
+    rings.into_iter().map(within).find(|found| !found.is_empty()).unwrap_or_default()
+}
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -110,6 +110,9 @@
     /// Counts the first send to `service`.
     fn first(&mut self, now: Time, service: Service);
 
+    /// The part of the budget of extra sends to `service` that is spent.
+    fn spent(&mut self, now: Time, service: Service) -> f64;
+
     /// Takes a send beyond the first from the budget.
     fn extra(&mut self, now: Time, service: Service) -> bool;
 
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -139,7 +139,8 @@
         slot.live += 1;
         slot.ran += 1;
         if self.plan.idempotent {
-            slot.alarm = self.plan.hedge(now, choice.expected);
+            let spent = advice.spent(now, service);
+            slot.alarm = self.plan.hedge(now, choice.expected, spent);
         }
         let attempt = self.tries.push(Try { slot: at, extra, live: true });
         actions.push(Action::Send { attempt, service, server: choice.server, extra });
--- a/crates/request/gather/src/plan.rs
+++ b/crates/request/gather/src/plan.rs
@@ -27,10 +27,14 @@
 }
 
 /// A request is asked of a second server after this multiple of the time that
-/// the first one was expected to take.
-const HEDGE_FACTOR: f64 = 2.0;
-/// Added to that time: what a node and a server may lose to other work.
-const HEDGE_SLACK: Duration = Duration::from_millis(8);
+/// the first one was expected to take, while the budget of extra requests is
+/// untouched.
+const HEDGE_FACTOR: f64 = 1.4;
+/// Added to the factor when the budget is spent, so that what is left goes to
+/// the slowest requests.
+const HEDGE_FACTOR_SPENT: f64 = 1.6;
+/// Added to the delay: what a node and a server may lose to other work.
+const HEDGE_SLACK: Duration = Duration::from_millis(3);
 /// The latest hedge, as a part of the time from the start to the objective: what
 /// is left must do for a way to another region and the work.
 const HEDGE_LATEST: f64 = 0.42;
@@ -39,9 +43,11 @@
 
 impl Plan {
     /// When an attempt that is made `now` and expected to take `expected` is
-    /// asked elsewhere as well.
-    pub fn hedge(&self, now: Time, expected: Duration) -> Time {
-        let usual = now + expected.mul_f64(HEDGE_FACTOR) + HEDGE_SLACK;
+    /// asked elsewhere as well; `spent` is the part of the budget that is spent.
+    pub fn hedge(&self, now: Time, expected: Duration, spent: f64) -> Time {
+        let spent = spent.clamp(0.0, 1.0);
+        let factor = HEDGE_FACTOR + HEDGE_FACTOR_SPENT * spent * spent;
+        let usual = now + expected.mul_f64(factor) + HEDGE_SLACK;
         if self.objective <= now {
             return usual;
         }
