gather, replica: refusals weigh more as the budget is spent; hedges leave a part of it

A failure now costs more as the budget is spent, hedges stop at three quarters of it, and a shard without budget waits for some while there is time. The log names each missing shard with its cause.

--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -49,7 +49,8 @@
         work: Duration,
         tried: &[Server],
     ) -> Option<Choice> {
-        self.table.choose(now, service, work, tried)
+        let spent = self.budget.spent(now, service);
+        self.table.choose(now, service, work, spent, tried)
     }
 
     fn first(&mut self, now: Time, service: Service) {
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -27,6 +27,7 @@
 use base::time::Time;
 use gather::event::Cause;
 use gather::event::Final;
+use gather::event::Word;
 use gather::machine::Machine;
 use gather::merge;
 use gather::plan::Plan;
@@ -88,13 +89,15 @@
     let mut headers = parts.headers;
     strip(&mut headers);
     let message =
-        Message { method: parts.method, uri: parts.uri, headers, body, id: id.clone(), deadline };
+        Message { method: parts.method, uri: parts.uri, headers, body, id, deadline };
     let pace = process.paces.borrow_mut().of(&route.name, route.objective);
     let work = pace.borrow().mean();
     let plan = plan(&process, &route, arrived, &ask, work);
     let machine = Machine::new(plan);
-    let last = drive::run(&process, machine, Rc::new(message), pace).await;
-    answer(&process, &route, &id, last)
+    let message = Rc::new(message);
+    let last = drive::run(&process, machine, Rc::clone(&message), pace).await;
+    log(&process, &route, &message, arrived, &last);
+    answer(&process, &route, last)
 }
 
 /// The route of a request.
@@ -148,31 +151,54 @@
 }
 
 /// What the caller is told.
-fn answer(process: &Process, route: &Route, id: &HeaderValue, last: Final<Reply>) -> Answer {
-    match last {
-        Final::Answer { replies, missing } => match &route.plan {
+fn answer(process: &Process, route: &Route, last: Final<Reply>) -> Answer {
+    let missing = last.missing.len();
+    match last.word {
+        Word::Answer(replies) => match &route.plan {
             site::snapshot::Plan::All { top, .. } => cover(process, &replies, missing, *top),
             site::snapshot::Plan::One(_) => match replies.into_iter().next() {
                 Some(reply) => pass(reply),
-                None => refusal(StatusCode::BAD_GATEWAY, None),
+                // A route that names no service asks nobody.
+                None => refusal(StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK)),
             },
         },
-        Final::Failure(reply) => pass(reply),
-        Final::NotRun(cause) => {
-            log::info!(target: "request", id:? = id, route = route.name.as_ref(), cause:? = cause; "Refused, not run.");
-            refusal(StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK))
-        }
-        Final::Unknown(cause) => {
-            log::info!(target: "request", id:? = id, route = route.name.as_ref(), cause:? = cause; "No answer; it may have run.");
-            let status = match cause {
-                Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
-                Cause::NoServer | Cause::Refused | Cause::Failed => StatusCode::BAD_GATEWAY,
-            };
-            refusal(status, None)
+        Word::Failure(reply) => pass(reply),
+        Word::NotRun => refusal(StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK)),
+        Word::Unknown if last.missing.iter().any(|(_, cause)| *cause == Cause::Timeout) => {
+            refusal(StatusCode::GATEWAY_TIMEOUT, None)
         }
+        Word::Unknown => refusal(StatusCode::BAD_GATEWAY, None),
     }
 }
 
+/// Tells the log of a request that did not go well.
+fn log(process: &Process, route: &Route, message: &Message, arrived: Time, last: &Final<Reply>) {
+    let outcome = match &last.word {
+        Word::Answer(_) if last.missing.is_empty() => return,
+        Word::Answer(_) => "answered in part",
+        Word::Failure(_) => "the server failed",
+        Word::NotRun => "refused, not run",
+        Word::Unknown => "no answer, may have run",
+    };
+    let now = process.clock.now();
+    let table = process.table.borrow();
+    let missing: Vec<String> = last
+        .missing
+        .iter()
+        .map(|(service, cause)| format!("{} {cause:?}", table.name(*service)))
+        .collect();
+    log::info!(
+        target: "request",
+        id = message.id.to_str().unwrap_or_default(),
+        route = route.name.as_ref(),
+        elapsed_ms = now.since(arrived).as_millis() as u64,
+        patience_ms = message.deadline.since(arrived).as_millis() as u64,
+        timeout_ms = route.timeout.as_millis() as u64,
+        missing = missing.join(", ");
+        "{outcome}"
+    );
+}
+
 /// A server's own reply, unchanged.
 fn pass(reply: Reply) -> Answer {
     let mut headers = reply.parts.headers.clone();
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -65,33 +65,39 @@
     Finish(Final<R>),
 }
 
+/// The end of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Final<R> {
+    /// What the caller is told.
+    pub word: Word<R>,
+    /// The services without an answer, and why.
+    pub missing: Vec<(Service, Cause)>,
+}
+
 /// The last word on a request.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Final<R> {
-    /// Enough services answered.
-    Answer {
-        /// The answers, in the order of the services.
-        replies: Vec<R>,
-        /// Services without an answer.
-        missing: usize,
-    },
+pub enum Word<R> {
+    /// Enough services answered; the answers in the order of the services.
+    Answer(Vec<R>),
     /// The only service's server failed; its reply is passed on.
     Failure(R),
     /// It has not run and never will.
-    NotRun(Cause),
+    NotRun,
     /// There is no answer; it may have run.
-    Unknown(Cause),
+    Unknown,
 }
 
-/// Why there is no answer.
+/// Why a service gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
-    /// No server of a service that is needed is known or reachable.
+    /// No server of it is known or reachable.
     NoServer,
-    /// The servers refused it.
+    /// Its servers refused the request.
     Refused,
-    /// The servers failed.
+    /// Its servers failed.
     Failed,
+    /// The budget of extra requests is spent.
+    Budget,
     /// The time is up.
     Timeout,
 }
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -13,6 +13,7 @@
 use crate::event::End;
 use crate::event::Event;
 use crate::event::Final;
+use crate::event::Word;
 use crate::plan::Plan;
 use crate::plan::REFUSED_PAUSE;
 use crate::slot::Slot;
@@ -32,6 +33,12 @@
     Hedge,
 }
 
+/// The part of the budget that hedges may spend: the rest is for requests that
+/// a server refused or failed.
+const HEDGE_PART: f64 = 0.75;
+/// How long a slot waits before it asks a spent budget again.
+const BUDGET_PAUSE: Duration = Duration::from_millis(15);
+
 /// The most sends to one service that did not run there: beyond them it is
 /// taken as lost, however much budget is left.
 const MOST_SENDS: usize = 8;
@@ -45,7 +52,6 @@
     open: usize,
     covered: usize,
     wake: Time,
-    cause: Cause,
     done: bool,
 }
 
@@ -60,7 +66,6 @@
             open: parts,
             covered: 0,
             wake: Time::NEVER,
-            cause: Cause::NoServer,
             done: false,
         }
     }
@@ -75,12 +80,6 @@
         self.done
     }
 
-    /// The positions of the services without an answer.
-    pub fn missing(&self) -> impl Iterator<Item = usize> {
-        let covered = |slot: &Slot<R>| matches!(slot.state, State::Covered(_));
-        self.slots.iter().enumerate().filter(move |(_, slot)| !covered(slot)).map(|(at, _)| at)
-    }
-
     /// Attempts made so far.
     pub fn sends(&self) -> usize {
         self.tries.len()
@@ -129,9 +128,10 @@
             return self.none_left(now, at, turn);
         };
         let extra = slot.reached || turn == Turn::Hedge;
-        if extra && !advice.extra(now, service) {
-            return self.lose(at);
+        if extra && !self.afford(now, at, turn, advice) {
+            return;
         }
+        let slot = &mut self.slots[at];
         if !extra && turn == Turn::First {
             advice.first(now, service);
         }
@@ -146,6 +146,25 @@
         actions.push(Action::Send { attempt, service, server: choice.server, extra });
     }
 
+    /// Takes an extra send from the budget. If it is spent, the slot waits for
+    /// more while there is time; hedges leave the last part to retries.
+    fn afford(&mut self, now: Time, at: usize, turn: Turn, advice: &mut dyn Advice) -> bool {
+        let service = self.plan.parts[at];
+        let kept = turn == Turn::Hedge && advice.spent(now, service) > HEDGE_PART;
+        if !kept && advice.extra(now, service) {
+            return true;
+        }
+        let again = now + BUDGET_PAUSE;
+        let slot = &mut self.slots[at];
+        if again < self.plan.objective {
+            slot.alarm = again;
+        } else {
+            slot.cause = Cause::Budget;
+            self.lose(at);
+        }
+        false
+    }
+
     /// All servers of a slot were asked: those that refused may be asked again.
     fn none_left(&mut self, now: Time, at: usize, turn: Turn) {
         let slot = &mut self.slots[at];
@@ -206,7 +225,7 @@
         match end {
             End::NotSent => {
                 slot.ran -= 1;
-                self.cause = Cause::NoServer;
+                slot.cause = Cause::NoServer;
                 if extra {
                     advice.give_back(now, service);
                 }
@@ -214,16 +233,16 @@
             End::Refused => {
                 slot.ran -= 1;
                 slot.reached = true;
-                self.cause = Cause::Refused;
+                slot.cause = Cause::Refused;
             }
             End::Failed(reply) => {
                 slot.reached = true;
                 slot.failure = Some(reply);
-                self.cause = Cause::Failed;
+                slot.cause = Cause::Failed;
             }
             End::Unknown => {
                 slot.reached = true;
-                self.cause = Cause::Failed;
+                slot.cause = Cause::Failed;
             }
         }
         if !slot.is_open() || slot.live > 0 {
@@ -252,9 +271,6 @@
         let hopeless = self.covered + self.open < self.plan.least;
         let late = now >= self.plan.objective && enough;
         if self.open == 0 || hopeless || late || now >= self.plan.limit {
-            if now >= self.plan.limit && !enough {
-                self.cause = Cause::Timeout;
-            }
             return self.finish(actions);
         }
         let mut next = self.plan.limit;
@@ -271,28 +287,28 @@
 
     fn finish(&mut self, actions: &mut Vec<Action<R>>) {
         self.done = true;
-        let missing = self.slots.len() - self.covered;
         let may_have_run = self.slots.iter().any(|slot| slot.ran > 0);
         let mut failure = None;
         let mut replies = Vec::with_capacity(self.covered);
-        for slot in &mut self.slots {
+        let mut missing = Vec::new();
+        for (at, slot) in self.slots.iter_mut().enumerate() {
             match std::mem::replace(&mut slot.state, State::Lost) {
-                State::Covered(reply) => replies.push(reply),
-                State::Open | State::Lost => failure = failure.or(slot.failure.take()),
+                State::Covered(reply) => {
+                    replies.push(reply);
+                    continue;
+                }
+                State::Open => missing.push((self.plan.parts[at], Cause::Timeout)),
+                State::Lost => missing.push((self.plan.parts[at], slot.cause)),
             }
+            failure = failure.or(slot.failure.take());
         }
-        let last = if replies.len() >= self.plan.least {
-            Final::Answer { replies, missing }
-        } else if self.slots.len() == 1 && failure.is_some() {
-            failure.map_or(Final::Unknown(self.cause), Final::Failure)
-        } else if may_have_run {
-            Final::Unknown(self.cause)
-        } else {
-            Final::NotRun(self.cause)
+        let single = self.slots.len() == 1;
+        let word = match failure {
+            _ if replies.len() >= self.plan.least => Word::Answer(replies),
+            Some(reply) if single => Word::Failure(reply),
+            _ if may_have_run => Word::Unknown,
+            _ => Word::NotRun,
         };
-        actions.push(Action::Finish(last));
+        actions.push(Action::Finish(Final { word, missing }));
     }
 }
-
-/// The time that is kept for the way back of an answer to the caller.
-pub const WAY_BACK: Duration = Duration::from_millis(3);
--- a/crates/request/gather/src/slot.rs
+++ b/crates/request/gather/src/slot.rs
@@ -1,5 +1,6 @@
 //! What a machine keeps for each service.
 
+use crate::event::Cause;
 use base::entity::Attempt;
 use base::entity::Server;
 use base::time::Time;
@@ -29,6 +30,8 @@
     pub(crate) reached: bool,
     /// When to ask another server, or to try again if no attempt is live.
     pub(crate) alarm: Time,
+    /// Why the last attempt gave no answer.
+    pub(crate) cause: Cause,
     /// The last failure that a server told.
     pub(crate) failure: Option<R>,
 }
@@ -42,6 +45,7 @@
             ran: 0,
             reached: false,
             alarm: Time::NEVER,
+            cause: Cause::NoServer,
             failure: None,
         }
     }
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -191,6 +191,6 @@
 
     pub(crate) fn refused(&mut self, now: Time, load: Option<Load>) {
         self.tell(now, load);
-        self.fault(now, 0.5);
+        self.fault(now, 1.0);
     }
 }
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -70,8 +70,10 @@
 /// The factor on the usual time at a server that has just started.
 const COLD_FACTOR: f64 = 1.7;
 /// What a failed request costs, in multiples of the usual time, the retry
-/// included.
-const FAULT_FACTOR: f64 = 6.0;
+/// included, while the budget of extra requests is untouched.
+const FAULT_FACTOR: f64 = 4.0;
+/// Added to it when the budget is spent: a failure then loses the answer.
+const FAULT_FACTOR_SPENT: f64 = 30.0;
 /// The part by which costs vary at random, so that nodes don't move together.
 const JITTER: f64 = 0.06;
 
@@ -142,6 +144,12 @@
         service
     }
 
+    /// The name of a service; empty if there is none.
+    pub fn name(&self, service: Service) -> Arc<str> {
+        let found = self.names.iter().find(|(_, known)| **known == service);
+        found.map_or_else(|| Arc::from(""), |(name, _)| Arc::clone(name))
+    }
+
     /// Sets how many connections each server of `service` accepts from all nodes.
     pub fn limit(&mut self, service: Service, connections: u32) {
         self.connections[service] = connections;
@@ -246,10 +254,11 @@
         way(record.distance) + work.mul_f64(factor)
     }
 
-    fn cost(&self, now: Time, server: Server, work: Duration) -> Duration {
+    fn cost(&self, now: Time, server: Server, work: Duration, spent: f64) -> Duration {
         let record = &self.servers[server];
         let expected = self.expected(now, server, work);
-        let mut cost = expected + work.mul_f64(FAULT_FACTOR * record.faults(now));
+        let fault = FAULT_FACTOR + FAULT_FACTOR_SPENT * spent * spent;
+        let mut cost = expected + work.mul_f64(fault * record.faults(now));
         let silence = record.silence(now);
         if silence > expected.mul_f64(ORDINARY_SILENCE).max(LEAST_SILENCE) {
             cost += silence;
@@ -264,12 +273,14 @@
     }
 
     /// The cheapest server of `service` for a request of the usual length
-    /// `work`, among those not in `tried`.
+    /// `work`, among those not in `tried`; `spent` is the part of the budget of
+    /// extra requests that is spent.
     pub fn choose(
         &mut self,
         now: Time,
         service: Service,
         work: Duration,
+        spent: f64,
         tried: &[Server],
     ) -> Option<Choice> {
         let mut best: Option<(Duration, Server)> = None;
@@ -279,7 +290,7 @@
                 continue;
             }
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
-            let cost = self.cost(now, server, work).mul_f64(jitter);
+            let cost = self.cost(now, server, work, spent.clamp(0.0, 1.0)).mul_f64(jitter);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, server));
             }
