--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -92,6 +92,8 @@
 pub enum Cause {
     /// No server of it is known or reachable.
     NoServer,
+    /// Its servers have more to do than they can finish in time.
+    Busy,
     /// Its servers refused the request.
     Refused,
     /// Its servers failed.
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -22,11 +22,11 @@
 use crate::slot::Try;
 use base::entity::Attempt;
 use base::time::Time;
+use replica::table::Choice;
 
 /// Why a further server is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Turn {
-    First,
     /// The last attempt ended without an answer.
     Retry,
     /// The last attempt takes long.
@@ -36,8 +36,8 @@
 /// The part of the budget that hedges may spend: the rest is for requests that
 /// a server refused or failed.
 const HEDGE_PART: f64 = 0.75;
-/// How long a slot waits before it asks a spent budget again.
-const BUDGET_PAUSE: Duration = Duration::from_millis(15);
+/// How long a slot waits for a budget that is spent or servers that are busy.
+const DEFER: Duration = Duration::from_millis(15);
 
 /// The most sends to one service that did not run there: beyond them it is
 /// taken as lost, however much budget is left.
@@ -97,11 +97,7 @@
             return;
         }
         match event {
-            Event::Start => {
-                for slot in 0..self.slots.len() {
-                    self.ask(now, slot, Turn::First, advice, actions);
-                }
-            }
+            Event::Start => self.start(now, advice, actions),
             Event::Answered { attempt, reply } => self.answered(attempt, reply),
             Event::Ended { attempt, end } => self.ended(now, attempt, end, advice, actions),
             Event::Timer => self.timer(now, advice, actions),
@@ -109,6 +105,32 @@
         self.settle(now, actions);
     }
 
+    /// Chooses a server for each service. If too few of them can answer, nothing
+    /// is sent, so that the request has certainly not run.
+    fn start(&mut self, now: Time, advice: &mut dyn Advice, actions: &mut Vec<Action<R>>) {
+        let mut chosen = Vec::with_capacity(self.slots.len());
+        for at in 0..self.slots.len() {
+            let choice = advice.choose(now, self.plan.parts[at], self.plan.work, &[]);
+            match choice {
+                Some(choice) if self.plan.admits(now, &choice) => chosen.push((at, choice)),
+                Some(_) => self.slots[at].cause = Cause::Busy,
+                None => {}
+            }
+        }
+        let hopeless = chosen.len() < self.plan.least;
+        let mut next = chosen.into_iter().peekable();
+        for at in 0..self.slots.len() {
+            let choice = next.next_if(|(slot, _)| *slot == at);
+            match choice {
+                Some((_, choice)) if !hopeless => {
+                    advice.first(now, self.plan.parts[at]);
+                    self.send(now, at, choice, false, advice, actions);
+                }
+                _ => self.lose(at),
+            }
+        }
+    }
+
     /// Asks one more server for a slot, if one may be asked.
     fn ask(
         &mut self,
@@ -127,14 +149,27 @@
         let Some(choice) = advice.choose(now, service, self.plan.work, &slot.tried) else {
             return self.none_left(now, at, turn);
         };
+        if !self.plan.admits(now, &choice) {
+            return self.defer(now, at, turn, Cause::Busy);
+        }
         let extra = slot.reached || turn == Turn::Hedge;
         if extra && !self.afford(now, at, turn, advice) {
-            return;
+            return self.defer(now, at, turn, Cause::Budget);
         }
+        self.send(now, at, choice, extra, advice, actions);
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        at: usize,
+        choice: Choice,
+        extra: bool,
+        advice: &mut dyn Advice,
+        actions: &mut Vec<Action<R>>,
+    ) {
+        let service = self.plan.parts[at];
         let slot = &mut self.slots[at];
-        if !extra && turn == Turn::First {
-            advice.first(now, service);
-        }
         slot.tried.push(choice.server);
         slot.live += 1;
         slot.ran += 1;
@@ -146,23 +181,24 @@
         actions.push(Action::Send { attempt, service, server: choice.server, extra });
     }
 
-    /// Takes an extra send from the budget. If it is spent, the slot waits for
-    /// more while there is time; hedges leave the last part to retries.
-    fn afford(&mut self, now: Time, at: usize, turn: Turn, advice: &mut dyn Advice) -> bool {
+    /// Takes an extra send from the budget; hedges leave the last part of it to
+    /// retries.
+    fn afford(&self, now: Time, at: usize, turn: Turn, advice: &mut dyn Advice) -> bool {
         let service = self.plan.parts[at];
         let kept = turn == Turn::Hedge && advice.spent(now, service) > HEDGE_PART;
-        if !kept && advice.extra(now, service) {
-            return true;
-        }
-        let again = now + BUDGET_PAUSE;
+        !kept && advice.extra(now, service)
+    }
+
+    /// Lets a slot wait a little before it tries again, while there is time.
+    fn defer(&mut self, now: Time, at: usize, turn: Turn, cause: Cause) {
+        let again = now + DEFER;
         let slot = &mut self.slots[at];
         if again < self.plan.objective {
             slot.alarm = again;
-        } else {
-            slot.cause = Cause::Budget;
+        } else if turn != Turn::Hedge {
+            slot.cause = cause;
             self.lose(at);
         }
-        false
     }
 
     /// All servers of a slot were asked: those that refused may be asked again.
--- a/crates/request/gather/src/plan.rs
+++ b/crates/request/gather/src/plan.rs
@@ -5,6 +5,7 @@
 
 use base::entity::Service;
 use base::time::Time;
+use replica::table::Choice;
 
 /// The terms of one request.
 #[derive(Clone, Debug)]
@@ -38,10 +39,23 @@
 /// The latest hedge, as a part of the time from the start to the objective: what
 /// is left must do for a way to another region and the work.
 const HEDGE_LATEST: f64 = 0.42;
+/// The longest line that is joined, as a multiple of the time to the objective.
+/// It is above one since the lines at servers are known from replies, which tell
+/// of the longest moments, and since a late answer is better than none.
+const LINE_PART: f64 = 2.5;
 /// How long a service whose servers all refused is left alone.
 pub const REFUSED_PAUSE: Duration = Duration::from_millis(25);
 
 impl Plan {
+    /// Whether a server is worth asking `now`: its reply is expected within
+    /// [`LINE_PART`] of the time to the objective, or by the limit if the request
+    /// need not wait there. A longer line would serve no more requests, only
+    /// later ones.
+    pub fn admits(&self, now: Time, choice: &Choice) -> bool {
+        let in_time = choice.expected <= self.objective.since(now).mul_f64(LINE_PART);
+        in_time || (!choice.busy && choice.expected <= self.limit.since(now))
+    }
+
     /// When an attempt that is made `now` and expected to take `expected` is
     /// asked elsewhere as well; `spent` is the part of the budget that is spent.
     pub fn hedge(&self, now: Time, expected: Duration, spent: f64) -> Time {
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -84,6 +84,8 @@
     pub server: Server,
     /// When its reply is expected.
     pub expected: Duration,
+    /// Whether as many requests are there as it runs at once, or more.
+    pub busy: bool,
 }
 
 /// How a request to a server ended.
@@ -249,8 +251,11 @@
         let record = &self.servers[server];
         let cold = if now < record.cold_until { COLD_FACTOR } else { 1.0 };
         let slots = f64::from(record.slots.max(1));
-        let over = (record.believed(now) + 1.0 - slots).max(0.0) / slots;
-        let factor = record.slowness(now).max(cold) * (1.0 + over);
+        let waiting = record.believed(now) - slots;
+        // The first of `slots` requests ends after a part of its length, and
+        // those that wait already go before.
+        let wait = if waiting < 0.0 { 0.0 } else { waiting / slots + 1.0 / (slots + 1.0) };
+        let factor = record.slowness(now).max(cold) * (1.0 + wait);
         way(record.distance) + work.mul_f64(factor)
     }
 
@@ -295,7 +300,13 @@
                 best = Some((cost, server));
             }
         }
-        best.map(|(_, server)| Choice { server, expected: self.expected(now, server, work) })
+        best.map(|(_, server)| self.choice(now, server, work))
+    }
+
+    fn choice(&self, now: Time, server: Server, work: Duration) -> Choice {
+        let record = &self.servers[server];
+        let busy = record.believed(now) >= f64::from(record.slots);
+        Choice { server, expected: self.expected(now, server, work), busy }
     }
 
     /// Whether a server may still get work.
--- /dev/null
+++ b/crates/version/site/tests/fleet_changes.rs
@@ -0,0 +1,128 @@
+//! Entries that drain, vanish, come back and start again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::time::Time;
+use site::fleet::Change;
+use site::fleet::Event;
+use site::fleet::Fleet;
+use site::fleet::Settings;
+use site::register::Entry;
+use site::register::Life;
+
+/// The bound within which a leaving server must get no more work, and what the
+/// watch that tells of it may take.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+const WATCH_DELAY: Duration = Duration::from_millis(700);
+
+fn life(id: &str, born: u64) -> Life {
+    Life { id: Arc::from(id), born }
+}
+
+fn entry(id: &str, born: u64) -> Entry {
+    Entry {
+        life: life(id, born),
+        service: Arc::from("desk"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: Arc::from("hall"),
+        slots: 2,
+        draining: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn draining(id: &str, born: u64) -> Entry {
+    Entry { draining: true, ..entry(id, born) }
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn put(fleet: &mut Fleet, ms: u64, entry: Entry) -> Option<Change> {
+    fleet.apply(at(ms), Event::Put(entry))
+}
+
+fn removed(fleet: &mut Fleet, ms: u64, id: &str) -> Option<Change> {
+    fleet.apply(at(ms), Event::Removed(Arc::from(id)))
+}
+
+#[test]
+fn draining_is_for_good() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 1));
+    assert_eq!(put(&mut fleet, 1, draining("a", 1)), Some(Change::Leaving(life("a", 1))));
+    // A stale list names it as ready again.
+    assert_eq!(put(&mut fleet, 2, entry("a", 1)), None);
+    assert!(fleet.replace(at(3), vec![entry("a", 1)]).is_empty());
+    assert!(fleet.is_empty());
+}
+
+#[test]
+fn new_life_of_a_drained_id_works() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, draining("a", 1));
+    let again = entry("a", 2);
+    assert_eq!(put(&mut fleet, 1, again.clone()), Some(Change::Up(again)));
+}
+
+#[test]
+fn late_write_of_the_last_life_is_ignored() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 2));
+    assert_eq!(put(&mut fleet, 1, entry("a", 1)), None);
+    let kept: Vec<u64> = fleet.entries().map(|entry| entry.life.born).collect();
+    assert_eq!(kept, [2]);
+}
+
+#[test]
+fn vanished_entry_goes_within_the_bound() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 1));
+    assert_eq!(removed(&mut fleet, 100, "a"), Some(Change::Lapsing(life("a", 1))));
+    assert!(fleet.expire(at(200)).is_empty());
+    let due = fleet.next_expiry().expect("it is due");
+    assert!(due.since(at(100)) + WATCH_DELAY < DRAIN_BOUND);
+    assert_eq!(fleet.expire(due), [Change::Gone(life("a", 1))]);
+    assert!(fleet.is_empty());
+}
+
+#[test]
+fn lapsed_entry_that_comes_back_stays() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 1));
+    removed(&mut fleet, 100, "a");
+    assert_eq!(put(&mut fleet, 1500, entry("a", 1)), Some(Change::Up(entry("a", 1))));
+    assert!(fleet.expire(at(60_000)).is_empty());
+}
+
+#[test]
+fn after_an_outage_entries_get_time_to_come_back() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 1));
+    fleet.outage_ended(at(10_000));
+    let changes = fleet.replace(at(10_000), Vec::new());
+    assert_eq!(changes, [Change::Lapsing(life("a", 1))]);
+    // Servers register anew within two seconds of the registry's return.
+    assert!(fleet.expire(at(12_000)).is_empty());
+    assert_eq!(fleet.expire(at(13_000)), [Change::Gone(life("a", 1))]);
+}
+
+#[test]
+fn repeated_removal_does_not_extend_the_time() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 1));
+    removed(&mut fleet, 100, "a");
+    let due = fleet.next_expiry();
+    assert_eq!(removed(&mut fleet, 1500, "a"), None);
+    assert_eq!(fleet.next_expiry(), due);
+}
+
+#[test]
+fn list_drops_what_it_does_not_name() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 1));
+    let changes = fleet.replace(at(1), vec![entry("b", 1)]);
+    assert_eq!(changes, [Change::Up(entry("b", 1)), Change::Lapsing(life("a", 1))]);
+}
--- /dev/null
+++ b/crates/version/site/tests/route_match.rs
@@ -0,0 +1,97 @@
+//! Which route takes a request, and which services it goes to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::entity::Service;
+use site::config::Config;
+use site::config::Limits;
+use site::config::Route;
+use site::config::Share;
+use site::config::Shards;
+use site::config::Target;
+use site::snapshot::Plan;
+use site::snapshot::Snapshot;
+
+fn route(name: &str, host: &str, prefix: &str, target: Target) -> Route {
+    Route {
+        name: Arc::from(name),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        target,
+        idempotent: true,
+        timeout: Duration::from_millis(800),
+        objective: Duration::from_millis(100),
+        priority: 1,
+        attempts: 2,
+    }
+}
+
+fn one(service: &str) -> Target {
+    Target::One(vec![Share { service: Arc::from(service), weight: 1.0 }])
+}
+
+fn snapshot(routes: Vec<Route>) -> Snapshot {
+    let config = Config { version: 1, routes, services: Vec::new(), limits: Limits::default() };
+    let mut names: Vec<Arc<str>> = Vec::new();
+    Snapshot::new(&config, |name| {
+        let known = names.iter().position(|other| other == name);
+        let at = known.unwrap_or_else(|| {
+            names.push(Arc::clone(name));
+            names.len() - 1
+        });
+        Service::from_u32(at as u32)
+    })
+}
+
+fn name_of(snapshot: &Snapshot, host: &str, path: &str) -> Option<String> {
+    snapshot.route(host, path).map(|route| route.name.to_string())
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let found = snapshot(vec![
+        route("all", "a.example", "/", one("x")),
+        route("deep", "a.example", "/one/two/", one("y")),
+        route("shallow", "a.example", "/one/", one("z")),
+    ]);
+    assert_eq!(name_of(&found, "a.example", "/one/two/three").as_deref(), Some("deep"));
+    assert_eq!(name_of(&found, "a.example", "/one/twofold").as_deref(), Some("shallow"));
+    assert_eq!(name_of(&found, "a.example", "/one").as_deref(), Some("all"));
+    assert_eq!(name_of(&found, "b.example", "/one/two/").as_deref(), None);
+}
+
+#[test]
+fn prefix_ends_at_a_slash() {
+    let found = snapshot(vec![route("r", "a.example", "/one/", one("x"))]);
+    assert_eq!(name_of(&found, "a.example", "/one/").as_deref(), Some("r"));
+    assert_eq!(name_of(&found, "a.example", "/onerous/").as_deref(), None);
+    assert_eq!(name_of(&found, "a.example", "").as_deref(), None);
+}
+
+#[test]
+fn split_follows_the_weights() {
+    let shares = vec![
+        Share { service: Arc::from("x"), weight: 30.0 },
+        Share { service: Arc::from("y"), weight: 70.0 },
+    ];
+    let found = snapshot(vec![route("r", "a.example", "/", Target::One(shares))]);
+    let plan = &found.route("a.example", "/").expect("the route is there").plan;
+    let first = (0..1000).filter(|n| plan.services(f64::from(*n) / 1000.0)[0].as_u32() == 0);
+    assert_eq!(first.count(), 300);
+    assert_eq!(plan.services(0.999_999).len(), 1);
+}
+
+#[test]
+fn least_coverage_is_rounded_up() {
+    for (shards, least, expected) in [(10, 0.89, 9), (10, 0.75, 8), (4, 0.75, 3), (3, 0.0, 1)] {
+        let services = (0..shards).map(|n| Arc::from(format!("s{n}").as_str())).collect();
+        let target = Target::All(Shards { services, top: 5, least });
+        let found = snapshot(vec![route("r", "a.example", "/", target)]);
+        let Plan::All { parts, least, .. } = &found.route("a.example", "/").expect("found").plan
+        else {
+            panic!("a route over shards");
+        };
+        assert_eq!((parts.len(), *least), (shards, expected));
+    }
+}
