platform, entry, fakes: tests of the whole path on the platform's protocol

Stand-ins of the store and of a server at the published protocol; entry nodes as processes on loopback addresses.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod hits;
 pub mod http;
 pub mod platform;
+pub mod shard;
+pub mod store;
 pub mod upstream;
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -101,7 +101,8 @@
 ) -> Vec<SocketAddr> {
     let here = |data_centre: &Arc<str>| lookup.data_centre.as_deref() == Some(&**data_centre);
     let near = |data_centre: &Arc<str>| {
-        lookup.region.is_some() && lookup.region.as_deref() == regions.get(data_centre).map(|r| &**r)
+        lookup.region.is_some()
+            && lookup.region.as_deref() == regions.get(data_centre).map(|r| &**r)
     };
     let all = |_: &Arc<str>| true;
     let rings: [&dyn Fn(&Arc<str>) -> bool; 3] = [&here, &near, &all];
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -88,8 +88,7 @@
     let deadline = arrived + patience;
     let mut headers = parts.headers;
     strip(&mut headers);
-    let message =
-        Message { method: parts.method, uri: parts.uri, headers, body, id, deadline };
+    let message = Message { method: parts.method, uri: parts.uri, headers, body, id, deadline };
     let pace = process.paces.borrow_mut().of(&route.name, route.objective);
     let work = pace.borrow().mean();
     let plan = plan(&process, &route, arrived, &ask, work);
--- /dev/null
+++ b/crates/process/node/tests/deployed_stop.rs
@@ -0,0 +1,63 @@
+//! Lookups and planned stops on the users' platform.
+
+mod deployed;
+
+use std::time::Duration;
+
+use deployed::World;
+use deployed::request;
+use deployed::until;
+use fakes::shard::Mood;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_name_each_other() {
+    let world = World::start();
+    world.publish();
+    let nodes = [world.node(), world.node()];
+    for node in &nodes {
+        until("both nodes are named", async || node.lookup().await.len() == 2).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_node_is_named_no_more_and_finishes_its_work() {
+    let world = World::start();
+    world.publish();
+    let (mut stopping, other) = (world.node(), world.node());
+    until("both nodes are named", async || other.lookup().await.len() == 2).await;
+    world.of("plain").for_each(|shard| shard.set_mood(Mood::Slow(Duration::from_secs(3))));
+    let callers = stopping.callers;
+    let slow = tokio::spawn(async move {
+        fakes::http::send(callers, request("b1", "POST", "/book/", "x")).await
+    });
+    until("the request runs", async || world.of("plain").any(|shard| !shard.runs().is_empty()))
+        .await;
+    stopping.terminate().await;
+    until("the other node names itself only", async || {
+        other.lookup().await == [other.callers.to_string()]
+    })
+    .await;
+    assert!(!stopping.is_ready().await);
+    // A caller that still has the old answer is served, and told to close.
+    let late = stopping.send(request("v1", "GET", "/search/", "")).await;
+    assert_eq!((late.status().as_u16(), deployed::header(&late, "connection")), (200, "close"));
+    let response = slow.await.expect("it ran").expect("a response");
+    assert_eq!(response.status(), 200);
+    assert!(stopping.ended().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_leaves_takes_its_requests_along() {
+    let world = World::start();
+    let node = world.ready_node().await;
+    world.of("plain").for_each(|shard| shard.set_mood(Mood::Sheds));
+    let left = tokio::time::timeout(
+        Duration::from_millis(200),
+        fakes::http::send(node.callers, request("v1", "GET", "/view/", "")),
+    );
+    // Whatever came of it, nothing is sent for it half a second later.
+    let _ = left.await;
+    world.of("plain").for_each(|shard| shard.set_mood(Mood::Sound));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(fakes::shard::counts(world.of("plain")).is_empty());
+}
--- a/crates/request/gather/tests/load_patterns.rs
+++ b/crates/request/gather/tests/load_patterns.rs
@@ -102,9 +102,8 @@
 
 #[test]
 fn twice_the_capacity() {
-    let capacity = |scene: &Scene| {
-        f64::from(scene.slots) * scene.replicas as f64 / scene.work.as_secs_f64()
-    };
+    let capacity =
+        |scene: &Scene| f64::from(scene.slots) * scene.replicas as f64 / scene.work.as_secs_f64();
     let peak = {
         let scene = Scene { rate: 0.75 * capacity(&Scene::default()), ..Scene::default() };
         let rate = scene.rate;
@@ -114,5 +113,9 @@
     let rate = scene.rate;
     let outcome = play(scene);
     let goodput = outcome.in_time_part() * rate;
-    assert!(goodput >= 0.9 * peak, "goodput {goodput}/s of a peak of {peak}/s: {:?}", outcome.in_time);
+    assert!(
+        goodput >= 0.9 * peak,
+        "goodput {goodput}/s of a peak of {peak}/s: {:?}",
+        outcome.in_time
+    );
 }
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -281,8 +281,7 @@
         let zone = |n: usize| Arc::<str>::from(format!("zone-{}", n % 3).as_str());
         let regions = (0..3).map(|n| (zone(n), zone(n))).collect();
         let mut table = Table::new(Place { data_centre: zone(at), regions }, at as u64 + 7);
-        let extra =
-            budget::Settings { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
+        let extra = budget::Settings { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
         let mut budget = Budget::new(extra);
         budget.share(self.scene.nodes as u32);
         let mut servers = HashMap::new();
