--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -87,8 +87,7 @@
         let settings = &process.settings;
         nodes.push((settings.callers, Arc::clone(&settings.data_centre)));
     }
-    let _ = lookup;
-    let mut found: Vec<SocketAddr> = nodes.iter().map(|n| n.0).collect();
+    let mut found = nearest(&nodes, lookup, &process.settings.regions);
     found.truncate(MOST_ADDRESSES);
     found
 }
