entry: metrics, an outcome line for each request that went badly, and state from peers

A node that starts while the store is away asks its peers for the configuration and the servers; what the store lists later replaces it. A caller's spent time is counted from the longest patience that its route's callers told, not from the route's timeout, which an operator may set longer than any caller waits. Counters and latencies are read at the metrics address.

--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -4,6 +4,7 @@
 //! attempt and its connection. Attempts that are no longer needed after the last
 //! word may end on their own for a short while, so that their connections stay.
 
+use std::cell::RefCell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use crate::exchange::Outcome;
 use crate::exchange::Reply;
 use crate::process::Process;
+use crate::process::Seen;
 use base::entity::Server;
 use base::entity::Service;
 use base::time::Time;
@@ -27,7 +29,6 @@
 use gather::event::Final;
 use gather::machine::Machine;
 use replica::budget::Budget;
-use replica::pace::Pace;
 use replica::table::Choice;
 use replica::table::Table;
 
@@ -77,7 +78,7 @@
     process: &Rc<Process>,
     mut machine: Machine<Reply>,
     message: Rc<Message>,
-    pace: Rc<std::cell::RefCell<Pace>>,
+    seen: Rc<RefCell<Seen>>,
 ) -> Final<Reply> {
     let work = machine.plan().work;
     let mut attempts: Attempts = FuturesUnordered::new();
@@ -93,7 +94,10 @@
         }
         for action in actions.drain(..) {
             match action {
-                Action::Send { attempt, server, .. } => {
+                Action::Send { attempt, server, extra, .. } => {
+                    if extra {
+                        process.metrics.extra();
+                    }
                     let (process, message) = (Rc::clone(process), Rc::clone(&message));
                     attempts.push(Box::pin(exchange::run(process, message, attempt, server, work)));
                 }
@@ -106,32 +110,43 @@
         }
         event = tokio::select! {
             biased;
-            Some(done) = attempts.next() => told(process, &pace, done),
+            Some(done) = attempts.next() => told(process, &message, &seen, done),
             () = sleep.as_mut() => Event::Timer,
         };
     }
 }
 
 /// What the machine is told of an attempt that ended.
-fn told(process: &Process, pace: &std::cell::RefCell<Pace>, done: Done) -> Event<Reply> {
+fn told(process: &Process, message: &Message, seen: &RefCell<Seen>, done: Done) -> Event<Reply> {
     let attempt = done.attempt;
     if let Some(took) = done.took {
-        pace.borrow_mut().sample(process.clock.now(), took);
+        seen.borrow_mut().pace.sample(process.clock.now(), took);
     }
-    let end = match done.outcome {
-        Outcome::Answered(reply) => return Event::Answered { attempt, reply },
-        Outcome::Failed(reply) => End::Failed(reply),
-        Outcome::Refused => End::Refused,
-        Outcome::NotSent(why) => {
-            log::debug!(target: "request", "Not sent to {}: {why}.", done.server);
-            End::NotSent
-        }
-        Outcome::Unknown(why) => {
-            let server = process.life_of(done.server);
-            log::info!(target: "request", server = server.as_ref(), why; "Attempt failed.");
-            End::Unknown
+    let (end, why) = match done.outcome {
+        Outcome::Answered(reply) => {
+            process.metrics.attempt("answered");
+            return Event::Answered { attempt, reply };
         }
+        Outcome::Failed(reply) => (End::Failed(reply), "the server failed"),
+        Outcome::Refused => (End::Refused, "the server did not run it"),
+        Outcome::NotSent(why) => (End::NotSent, why),
+        Outcome::Unknown(why) => (End::Unknown, why),
+    };
+    let name = match &end {
+        End::Failed(_) => "failed",
+        End::Refused => "refused",
+        End::NotSent => "not sent",
+        End::Unknown => "unknown",
     };
+    process.metrics.attempt(name);
+    log::info!(
+        target: "attempt",
+        id = message.id.to_str().unwrap_or_default(),
+        server = process.life_of(done.server).as_ref(),
+        end = name,
+        why;
+        "An attempt ended without an answer."
+    );
     Event::Ended { attempt, end }
 }
 
--- a/crates/process/entry/src/follow.rs
+++ b/crates/process/entry/src/follow.rs
@@ -7,6 +7,8 @@
 
 use tokio::time::sleep;
 
+use crate::handover;
+use crate::handover::Knowledge;
 use crate::process::Process;
 use crate::source::Batch;
 use crate::source::Error;
@@ -38,6 +40,7 @@
             None => process.source.list(kind).await,
             Some(revision) => process.source.watch(kind, revision, WATCH).await,
         };
+        process.metrics.registry_call(if call.is_ok() { "answered" } else { "failed" });
         match call {
             Ok(batch) => {
                 if failures > 0 {
@@ -61,12 +64,36 @@
                     log::warn!(target: "registry", kind:? = kind, error:% = error; "The registry is lost.");
                 }
                 failures += 1;
+                if !is_known(&process, kind) {
+                    handover::ask(&process).await;
+                }
                 sleep(pause(&process, failures)).await;
             }
         }
     }
 }
 
+fn is_known(process: &Process, kind: Kind) -> bool {
+    match kind {
+        Kind::Config => process.snapshot.borrow().is_some(),
+        Kind::Servers => process.servers_known.get(),
+        Kind::Nodes => true,
+    }
+}
+
+/// Takes in what a peer knows, where the registry has told nothing yet.
+pub(crate) fn adopt(process: &Process, knowledge: Knowledge) {
+    if !is_known(process, Kind::Config) {
+        install(process, &knowledge.config);
+    }
+    if !is_known(process, Kind::Servers) {
+        let now = process.clock.now();
+        let changes = process.fleet.borrow_mut().replace(now, knowledge.servers);
+        process.servers_known.set(true);
+        apply(process, &changes);
+    }
+}
+
 fn regained(process: &Process, kind: Kind, failures: u32) {
     log::info!(target: "registry", kind:? = kind, failures; "The registry is back.");
     process.fleet.borrow_mut().outage_ended(process.clock.now());
@@ -131,6 +158,7 @@
     };
     log::info!(target: "config", version = config.version, before:? = known, routes = config.routes.len(); "A version is in force.");
     *process.snapshot.borrow_mut() = Some(Rc::new(snapshot));
+    *process.config.borrow_mut() = Some(config.clone());
     share(process);
 }
 
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -1,4 +1,5 @@
-//! Says which nodes callers should use, and whether this one is ready.
+//! Says which nodes callers should use, whether this one is ready, and what it
+//! has counted.
 
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -25,12 +26,14 @@
 use crate::serve;
 use crate::serve::Answer;
 
+/// Asks for the metrics.
+const METRICS_PATH: &str = "/metrics";
 /// The most addresses that one answer names.
 const MOST_ADDRESSES: usize = 64;
 /// How long callers keep an answer: a stopping node goes on accepting for longer.
 pub(crate) const KEEP: Duration = Duration::from_secs(2);
 
-/// Answers lookups and readiness questions on `listener`.
+/// Answers lookups, readiness questions and scrapes on `listener`.
 pub(crate) async fn accept(process: Rc<Process>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
@@ -61,6 +64,9 @@
             if process.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return serve::refusal(status, None);
     }
+    if request.uri().path() == METRICS_PATH {
+        return Answer::new(Full::new(Bytes::from(process.metrics.text())));
+    }
     let Some(lookup) = process.protocol.lookup(request.uri()) else {
         return serve::refusal(StatusCode::NOT_FOUND, None);
     };
--- /dev/null
+++ b/crates/process/entry/src/metrics.rs
@@ -0,0 +1,92 @@
+//! The node's counters and latencies, kept by opentelemetry and told as text.
+//!
+//! Labels are names of routes, services and outcomes, so their number is bounded
+//! by the configuration.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the latency buckets, in milliseconds: objectives are between
+/// 80 and 600.
+const LATENCY_BOUNDS_MS: [f64; 12] =
+    [10.0, 20.0, 40.0, 60.0, 80.0, 120.0, 200.0, 400.0, 600.0, 1000.0, 2500.0, 5000.0];
+
+/// Every instrument of a node.
+pub(crate) struct Metrics {
+    registry: Registry,
+    // The provider ends its instruments when it is dropped.
+    _provider: SdkMeterProvider,
+    latency: Histogram<f64>,
+    requests: Counter<u64>,
+    missing: Counter<u64>,
+    attempts: Counter<u64>,
+    extra: Counter<u64>,
+    registry_calls: Counter<u64>,
+}
+
+impl Metrics {
+    /// Instruments with all counts at zero.
+    pub(crate) fn new() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("heatherseam");
+        let latency = meter.f64_histogram("heatherseam_request_latency_ms");
+        Ok(Self {
+            registry,
+            latency: latency.with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build(),
+            requests: meter.u64_counter("heatherseam_requests").build(),
+            missing: meter.u64_counter("heatherseam_missing_shards").build(),
+            attempts: meter.u64_counter("heatherseam_attempts").build(),
+            extra: meter.u64_counter("heatherseam_extra_sends").build(),
+            registry_calls: meter.u64_counter("heatherseam_registry_calls").build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request of `route` that ended with `outcome` after `elapsed`.
+    pub(crate) fn request(&self, route: &str, outcome: &'static str, elapsed: Duration) {
+        let labels = [KeyValue::new("route", route.to_owned()), KeyValue::new("outcome", outcome)];
+        self.latency.record(elapsed.as_secs_f64() * 1000.0, &labels[..1]);
+        self.requests.add(1, &labels);
+    }
+
+    /// Counts a shard that an answer lacks.
+    pub(crate) fn missing(&self, cause: &'static str) {
+        self.missing.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts the end of an attempt.
+    pub(crate) fn attempt(&self, end: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a send beyond the first to a service.
+    pub(crate) fn extra(&self) {
+        self.extra.add(1, &[]);
+    }
+
+    /// Counts a call to the registry.
+    pub(crate) fn registry_call(&self, result: &'static str) {
+        self.registry_calls.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(target: "node", error:% = error; "The metrics can't be encoded.");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -2,14 +2,17 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cranelift_entity::SecondaryMap;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::members::Members;
+use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::settings::Settings;
 use crate::source::Source;
@@ -18,6 +21,7 @@
 use replica::budget::Budget;
 use replica::pace::Pace;
 use replica::table::Table;
+use site::config::Config;
 use site::fleet::Fleet;
 use site::snapshot::Snapshot;
 
@@ -27,13 +31,16 @@
     pub(crate) clock: Clock,
     pub(crate) protocol: Box<dyn Protocol>,
     pub(crate) source: Box<dyn Source>,
+    /// The newest configuration, as it was read.
+    pub(crate) config: RefCell<Option<Config>>,
     /// The version in force; `None` until one is known.
     pub(crate) snapshot: RefCell<Option<Rc<Snapshot>>>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) table: RefCell<Table>,
     pub(crate) budget: RefCell<Budget>,
-    pub(crate) paces: RefCell<Paces>,
+    pub(crate) routes: RefCell<Routes>,
     pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
     pub(crate) members: RefCell<Members>,
     /// Whether a list of servers was read.
     pub(crate) servers_known: Cell<bool>,
@@ -59,20 +66,27 @@
     }
 }
 
-/// The pace of each route, by name.
+/// What this process has seen of a route's requests.
+pub(crate) struct Seen {
+    /// How long they take at a server.
+    pub(crate) pace: Pace,
+    /// The longest patience that a caller told: that of a first try.
+    pub(crate) patience: Duration,
+}
+
+/// What was seen of each route, by name.
 #[derive(Default)]
-pub(crate) struct Paces {
-    names: std::collections::HashMap<Arc<str>, Rc<RefCell<Pace>>>,
+pub(crate) struct Routes {
+    names: HashMap<Arc<str>, Rc<RefCell<Seen>>>,
 }
 
-impl Paces {
-    /// The pace of a route that aims at `objective`.
-    pub(crate) fn of(
-        &mut self,
-        route: &Arc<str>,
-        objective: std::time::Duration,
-    ) -> Rc<RefCell<Pace>> {
-        let made = || Rc::new(RefCell::new(Pace::new(objective)));
+impl Routes {
+    /// What was seen of a route that aims at `objective`.
+    pub(crate) fn of(&mut self, route: &Arc<str>, objective: Duration) -> Rc<RefCell<Seen>> {
+        let made = || {
+            let seen = Seen { pace: Pace::new(objective), patience: Duration::ZERO };
+            Rc::new(RefCell::new(seen))
+        };
         Rc::clone(self.names.entry(Arc::clone(route)).or_insert_with(made))
     }
 }
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use opentelemetry_sdk::error::OTelSdkError;
 use rand::RngExt;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -22,10 +23,12 @@
 use crate::clock::Clock;
 use crate::follow;
 use crate::front;
+use crate::handover;
 use crate::lookup;
 use crate::members::Members;
-use crate::process::Paces;
+use crate::metrics::Metrics;
 use crate::process::Process;
+use crate::process::Routes;
 use crate::protocol::Protocol;
 use crate::settings::Settings;
 use crate::source::Kind;
@@ -48,6 +51,9 @@
         /// The operating system's word.
         source: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error("cannot set up the metrics: {0}")]
+    Metrics(#[from] OTelSdkError),
     /// Signals can't be waited for.
     #[error("cannot wait for signals: {0}")]
     Signal(io::Error),
@@ -81,7 +87,8 @@
     let beats = SocketAddr::new(settings.ip, settings.peer_port);
     let socket = UdpSocket::bind(beats).await;
     let socket = Rc::new(socket.map_err(|source| Error::Listen { address: beats, source })?);
-    let process = Rc::new(process(settings, protocol, source));
+    let peers = listen(beats).await?;
+    let process = Rc::new(process(settings, protocol, source)?);
     log::info!(target: "node", name = process.settings.name.as_ref(), callers:% = process.settings.callers; "Started.");
 
     let connections = TaskTracker::new();
@@ -91,10 +98,14 @@
     if let Some(lookups) = lookups {
         spawn_local(lookup::accept(Rc::clone(&process), lookups));
     }
+    if let Some(address) = process.settings.metrics {
+        spawn_local(lookup::accept(Rc::clone(&process), listen(address).await?));
+    }
     spawn_local(follow::run(Rc::clone(&process), Kind::Config));
     spawn_local(follow::run(Rc::clone(&process), Kind::Servers));
     spawn_local(follow::meet(Rc::clone(&process)));
     spawn_local(follow::expire(Rc::clone(&process)));
+    spawn_local(handover::accept(Rc::clone(&process), peers));
     spawn_local(beat::send(Rc::clone(&process), Rc::clone(&socket)));
     spawn_local(beat::hear(Rc::clone(&process), socket));
 
@@ -108,23 +119,29 @@
     Ok(())
 }
 
-fn process(settings: Settings, protocol: Box<dyn Protocol>, source: Box<dyn Source>) -> Process {
+fn process(
+    settings: Settings,
+    protocol: Box<dyn Protocol>,
+    source: Box<dyn Source>,
+) -> Result<Process, Error> {
     let clock = Clock::new();
     let mut rng = rand::rng();
     let place =
         Place { data_centre: settings.data_centre.clone(), regions: settings.regions.clone() };
     let mut members = Members::new(settings.ip);
     settings.seeds.iter().for_each(|seed| members.learn(*seed));
-    Process {
+    Ok(Process {
         clock,
         protocol,
         source,
+        config: RefCell::new(None),
         snapshot: RefCell::new(None),
         fleet: RefCell::new(Fleet::new(fleet::Settings::default())),
         table: RefCell::new(Table::new(place, rng.random())),
         budget: RefCell::new(Budget::new(settings.extra)),
-        paces: RefCell::new(Paces::default()),
+        routes: RefCell::new(Routes::default()),
         pool: Pool::new(clock),
+        metrics: Metrics::new()?,
         members: RefCell::new(members),
         servers_known: Cell::new(false),
         leaving: Cell::new(false),
@@ -132,7 +149,7 @@
         life: rng.random(),
         busy: Cell::new(0),
         settings,
-    }
+    })
 }
 
 /// Leaves the lookups at once, goes on serving until no caller knows this node
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -2,6 +2,7 @@
 //! of it.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use crate::exchange::Message;
 use crate::exchange::Reply;
 use crate::process::Process;
-use crate::protocol::Ask;
+use crate::process::Seen;
 use base::time::Time;
 use gather::event::Cause;
 use gather::event::Final;
@@ -89,13 +90,12 @@
     let mut headers = parts.headers;
     strip(&mut headers);
     let message = Message { method: parts.method, uri: parts.uri, headers, body, id, deadline };
-    let pace = process.paces.borrow_mut().of(&route.name, route.objective);
-    let work = pace.borrow().mean();
-    let plan = plan(&process, &route, arrived, &ask, work);
+    let seen = process.routes.borrow_mut().of(&route.name, route.objective);
+    let plan = plan(&process, &route, arrived, patience, &seen);
     let machine = Machine::new(plan);
     let message = Rc::new(message);
-    let last = drive::run(&process, machine, Rc::clone(&message), pace).await;
-    log(&process, &route, &message, arrived, &last);
+    let last = drive::run(&process, machine, Rc::clone(&message), seen).await;
+    tell(&process, &route, &message, arrived, &last);
     answer(&process, &route, last)
 }
 
@@ -108,8 +108,16 @@
 }
 
 /// The terms of a request that arrived at `arrived`.
-fn plan(process: &Process, route: &Route, arrived: Time, ask: &Ask, work: Duration) -> Plan {
-    let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
+fn plan(
+    process: &Process,
+    route: &Route,
+    arrived: Time,
+    patience: Duration,
+    seen: &RefCell<Seen>,
+) -> Plan {
+    let mut seen = seen.borrow_mut();
+    seen.patience = seen.patience.max(patience);
+    let work = seen.pace.mean();
     let draw = process.table.borrow_mut().draw();
     let parts = route.plan.services(draw);
     let least = match &route.plan {
@@ -117,9 +125,9 @@
         site::snapshot::Plan::One(_) => parts.len(),
     };
     let limit = patience.min(route.timeout).saturating_sub(LIMIT_MARGIN);
-    // A caller that comes back has less patience than the route's timeout, and
-    // has spent the difference of its objective.
-    let spent = route.timeout.saturating_sub(patience).min(route.objective);
+    // A caller that comes back has less patience than at its first try, and has
+    // spent the difference of its objective.
+    let spent = seen.patience.saturating_sub(patience).min(route.objective);
     let left = route.objective.saturating_sub(spent + CALLER_WAY * 2 + ANSWER_WORK);
     Plan {
         parts,
@@ -170,27 +178,35 @@
     }
 }
 
-/// Tells the log of a request that did not go well.
-fn log(process: &Process, route: &Route, message: &Message, arrived: Time, last: &Final<Reply>) {
+/// Counts a request, and tells the log if it did not go well.
+fn tell(process: &Process, route: &Route, message: &Message, arrived: Time, last: &Final<Reply>) {
     let outcome = match &last.word {
-        Word::Answer(_) if last.missing.is_empty() => return,
+        Word::Answer(_) if last.missing.is_empty() => "answered",
         Word::Answer(_) => "answered in part",
         Word::Failure(_) => "the server failed",
         Word::NotRun => "refused, not run",
         Word::Unknown => "no answer, may have run",
     };
-    let now = process.clock.now();
+    let elapsed = process.clock.now().since(arrived);
+    process.metrics.request(&route.name, outcome, elapsed);
+    last.missing.iter().for_each(|(_, cause)| process.metrics.missing(cause.name()));
+    let late = elapsed > route.objective;
+    if outcome == "answered" && !late {
+        return;
+    }
     let table = process.table.borrow();
     let missing: Vec<String> = last
         .missing
         .iter()
-        .map(|(service, cause)| format!("{} {cause:?}", table.name(*service)))
+        .map(|(service, cause)| format!("{} {}", table.name(*service), cause.name()))
         .collect();
     log::info!(
         target: "request",
         id = message.id.to_str().unwrap_or_default(),
         route = route.name.as_ref(),
-        elapsed_ms = now.since(arrived).as_millis() as u64,
+        elapsed_ms = elapsed.as_millis() as u64,
+        objective_ms = route.objective.as_millis() as u64,
+        late,
         patience_ms = message.deadline.since(arrived).as_millis() as u64,
         timeout_ms = route.timeout.as_millis() as u64,
         missing = missing.join(", ");
--- a/crates/process/entry/src/settings.rs
+++ b/crates/process/entry/src/settings.rs
@@ -25,6 +25,8 @@
     pub readiness: SocketAddr,
     /// Where callers ask which addresses to use.
     pub lookups: Option<SocketAddr>,
+    /// Where the metrics are read.
+    pub metrics: Option<SocketAddr>,
     /// The port for traffic between nodes, the same on all of them.
     pub peer_port: u16,
     /// Addresses of nodes to ask first; ports are those of another service.
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -288,9 +288,11 @@
     now + told.saturating_sub(KEEP_MARGIN)
 }
 
-type Opened = (SendRequest<Full<Bytes>>, http1::Connection<TokioIo<TcpStream>, Full<Bytes>>);
+pub(crate) type Opened =
+    (SendRequest<Full<Bytes>>, http1::Connection<TokioIo<TcpStream>, Full<Bytes>>);
 
-async fn connect(address: SocketAddr) -> Result<Opened, Box<dyn std::error::Error>> {
+/// Opens a connection on which silence is noticed.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Opened, Box<dyn std::error::Error>> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -43,6 +43,7 @@
     pub callers: SocketAddr,
     readiness: SocketAddr,
     lookups: SocketAddr,
+    metrics: SocketAddr,
     log: PathBuf,
 }
 
@@ -111,6 +112,11 @@
 
     /// Starts a node, which may not be ready yet.
     pub fn node(&self) -> Node {
+        self.node_with_seeds(&[])
+    }
+
+    /// Starts a node that is told of others.
+    pub fn node_with_seeds(&self, seeds: &[SocketAddr]) -> Node {
         let number = self.number.fetch_add(1, Ordering::Relaxed);
         let ip = format!("127.{}.{}.{number}", 10 + self.subnet, WORLDS.load(Ordering::Relaxed));
         let port = |offset: u16| -> SocketAddr {
@@ -121,7 +127,7 @@
             "zones": { "hall": "land" },
             "listen": { "front": port(6), "readiness_addr": port(7), "directory": port(5) },
             "port_range": [18_040, 18_055],
-            "seeds": [],
+            "seeds": seeds,
             "bounds": {
                 "grace_s": 6, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 52,
                 "ttl_max_s": 5
@@ -140,7 +146,8 @@
             .kill_on_drop(true)
             .spawn()
             .expect("a node");
-        Node { child, callers: port(6), readiness: port(7), lookups: port(5), log }
+        let metrics = SocketAddr::new(port(6).ip(), platform::settings::METRICS_PORT);
+        Node { child, callers: port(6), readiness: port(7), lookups: port(5), metrics, log }
     }
 
     /// Publishes everything, starts a node and waits until it is ready.
@@ -245,6 +252,13 @@
         addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect()
     }
 
+    /// Its metrics as text.
+    pub async fn metrics(&self) -> String {
+        let scrape = http::send(self.metrics, request("0", "GET", "/metrics", ""));
+        let response = limited("a scrape", scrape).await.expect("a response");
+        String::from_utf8_lossy(response.body()).into_owned()
+    }
+
     /// Asks it to stop.
     pub async fn terminate(&self) {
         let id = self.child.id().expect("it runs").to_string();
--- a/crates/process/node/tests/deployed_stop.rs
+++ b/crates/process/node/tests/deployed_stop.rs
@@ -61,3 +61,29 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(fakes::shard::counts(world.of("plain")).is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_starts_while_the_store_is_away_learns_from_a_peer() {
+    for mood in [fakes::store::Mood::Busy, fakes::store::Mood::Silent] {
+        let world = World::start();
+        let first = world.ready_node().await;
+        // The seeds of a node that starts again name its peers.
+        world.store.set_mood(mood);
+        let second = world.node_with_seeds(&[first.callers]);
+        second.ready().await;
+        let response = second.send(request("s1", "GET", "/search/", "")).await;
+        assert_eq!(response.status(), 200, "{mood:?}");
+        assert_eq!(deployed::header(&response, "heatherseam-missing-parts"), "0", "{mood:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_requests() {
+    let world = World::start();
+    let node = world.ready_node().await;
+    assert_eq!(node.send(request("s1", "GET", "/search/", "")).await.status(), 200);
+    let text = node.metrics().await;
+    let counted = |line: &str| line.contains("route=\"search\"") && line.ends_with(" 1");
+    let requests = text.lines().filter(|line| line.starts_with("heatherseam_requests_total"));
+    assert!(requests.clone().any(counted), "{text}");
+}
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -104,6 +104,20 @@
     Timeout,
 }
 
+impl Cause {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoServer => "no server",
+            Self::Busy => "busy",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Budget => "budget spent",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
 /// What the machine is advised by.
 pub trait Advice {
     /// The server of `service` that is best asked, none of `tried`.
--- a/crates/version/site/src/config.rs
+++ b/crates/version/site/src/config.rs
@@ -5,8 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// One version of the configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// Its version; versions only grow.
     pub version: u64,
@@ -19,7 +22,7 @@
 }
 
 /// Which requests go to which services, and on what terms.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: Arc<str>,
@@ -42,7 +45,7 @@
 }
 
 /// Who answers the requests of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Target {
     /// One server of one of these services, chosen by weight.
     One(Vec<Share>),
@@ -51,7 +54,7 @@
 }
 
 /// A service's part of a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Share {
     /// The service.
     pub service: Arc<str>,
@@ -60,7 +63,7 @@
 }
 
 /// The shards of a query, and what its answer must hold.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Shards {
     /// The services.
     pub services: Vec<Arc<str>>,
@@ -71,7 +74,7 @@
 }
 
 /// What the operators say of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: Arc<str>,
@@ -80,7 +83,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// The largest header, in bytes.
     pub header_bytes: usize,
--- a/crates/version/site/src/register.rs
+++ b/crates/version/site/src/register.rs
@@ -5,9 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// One life of a server: a server that starts again under the same id has a
 /// later birth.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Life {
     /// The server's id.
     pub id: Arc<str>,
@@ -22,7 +25,7 @@
 }
 
 /// One entry of the registry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// The server and its present life.
     pub life: Life,
