--- a/crates/request/gather/src/plan.rs
+++ b/crates/request/gather/src/plan.rs
@@ -43,17 +43,21 @@
 /// It is above one since the lines at servers are known from replies, which tell
 /// of the longest moments, and since a late answer is better than none.
 const LINE_PART: f64 = 2.5;
+/// The longest line that a request joins whose objective is past, as a part of
+/// the time to the limit; below that of requests that can still be in time.
+const LATE_LINE_PART: f64 = 0.3;
 /// How long a service whose servers all refused is left alone.
 pub const REFUSED_PAUSE: Duration = Duration::from_millis(25);
 
 impl Plan {
     /// Whether a server is worth asking `now`: its reply is expected within
-    /// [`LINE_PART`] of the time to the objective, or by the limit if the request
-    /// need not wait there. A longer line would serve no more requests, only
-    /// later ones.
+    /// [`LINE_PART`] of the time to the objective or [`LATE_LINE_PART`] of the
+    /// time to the limit, or by the limit if the request need not wait there. A
+    /// longer line would serve no more requests, only later ones.
     pub fn admits(&self, now: Time, choice: &Choice) -> bool {
-        let in_time = choice.expected <= self.objective.since(now).mul_f64(LINE_PART);
-        in_time || (!choice.busy && choice.expected <= self.limit.since(now))
+        let limit = self.limit.since(now);
+        let line = self.objective.since(now).mul_f64(LINE_PART).max(limit.mul_f64(LATE_LINE_PART));
+        choice.expected <= line || (!choice.busy && choice.expected <= limit)
     }
 
     /// When an attempt that is made `now` and expected to take `expected` is
