--- /dev/null
+++ b/crates/process/node/tests/causes_in_log.rs
@@ -0,0 +1,67 @@
+//! The cause of a failed request, read back from the log by its id alone.
+
+mod deployed;
+
+use serde_json::Value;
+
+use crate::deployed::Node;
+use crate::deployed::World;
+use crate::deployed::request;
+use crate::deployed::until;
+use fakes::shard::Mood;
+
+/// The lines that name a request, once its outcome is told.
+async fn lines(node: &Node, id: &str) -> Vec<Value> {
+    let named =
+        || -> Vec<Value> { node.log().into_iter().filter(|line| line["id"] == id).collect() };
+    let outcome = |line: &Value| line["part"] == "request";
+    until("the outcome is told", async || named().iter().any(outcome)).await;
+    named()
+}
+
+fn outcome(lines: &[Value]) -> &Value {
+    lines.iter().find(|line| line["part"] == "request").expect("an outcome")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_request_names_its_cause() {
+    let world = World::start();
+    world.of("plain").for_each(|shard| shard.set_mood(Mood::Sheds));
+    let node = world.ready_node().await;
+    assert_eq!(node.send(request("r1", "POST", "/book/", "x")).await.status(), 503);
+    let lines = lines(&node, "r1").await;
+    let outcome = outcome(&lines);
+    assert_eq!(outcome["event"], "refused, not run");
+    assert_eq!(outcome["missing"], "plain refused");
+    let refusals = lines.iter().filter(|line| line["why"] == "the server did not run it");
+    assert!(refusals.count() >= 2, "{lines:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn partial_answer_names_the_missing_shard() {
+    let world = World::start();
+    world.of("shard-b").for_each(|shard| shard.set_mood(Mood::Forges));
+    let node = world.ready_node().await;
+    assert_eq!(node.send(request("p1", "GET", "/search/", "")).await.status(), 200);
+    let lines = lines(&node, "p1").await;
+    let outcome = outcome(&lines);
+    assert_eq!(outcome["event"], "answered in part");
+    assert_eq!(outcome["missing"], "shard-b failed");
+    let attempt = |line: &&Value| line["why"] == "the reply has no proof";
+    let server = lines.iter().find(attempt).expect("an attempt")["server"].to_string();
+    assert!(server.contains("shard-b"), "{server}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_outcome_names_the_server() {
+    let world = World::start();
+    world.of("plain").for_each(|shard| shard.set_mood(Mood::LosesAnswers));
+    let node = world.ready_node().await;
+    assert_eq!(node.send(request("u1", "POST", "/book/", "x")).await.status(), 502);
+    let lines = lines(&node, "u1").await;
+    assert_eq!(outcome(&lines)["event"], "no answer, may have run");
+    let attempts: Vec<&Value> = lines.iter().filter(|line| line["part"] == "attempt").collect();
+    assert_eq!(attempts.len(), 1);
+    assert_eq!(attempts[0]["end"], "unknown");
+    assert!(attempts[0]["server"].as_str().is_some_and(|server| server.starts_with("plain-")));
+}
--- /dev/null
+++ b/crates/process/node/tests/slow_reader.rs
@@ -0,0 +1,69 @@
+//! The log of decisions with a reader that never reads.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+
+use node::journal;
+
+/// A writer that blocks until it is released, then keeps what is written.
+struct Blocked {
+    release: Receiver<()>,
+    released: bool,
+    text: Arc<Mutex<String>>,
+}
+
+impl Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if !self.released {
+            self.release.recv().map_err(io::Error::other)?;
+            self.released = true;
+        }
+        self.text.lock().push_str(&String::from_utf8_lossy(bytes));
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// What 100,000 lines may take: 10 us each is a tenth of a request's work.
+const LIMIT: Duration = Duration::from_secs(1);
+/// More lines than any queue or allowance holds.
+const LINES: usize = 100_000;
+
+#[test]
+fn logging_never_waits_and_tells_what_was_left_out() {
+    let (release, blocked) = channel();
+    let text = Arc::new(Mutex::new(String::new()));
+    let out = Blocked { release: blocked, released: false, text: Arc::clone(&text) };
+    let _log = journal::start(Box::new(out)).expect("the log starts");
+    let begin = Instant::now();
+    for number in 0..LINES {
+        log::info!(target: "request", number; "an event");
+    }
+    assert!(begin.elapsed() < LIMIT, "{:?}", begin.elapsed());
+    release.send(()).expect("the writer waits");
+    // The allowance grows again, and the next line tells what was left out.
+    std::thread::sleep(Duration::from_millis(200));
+    log::info!(target: "request", number = LINES; "the last event");
+    let end = Instant::now() + Duration::from_secs(10);
+    while !text.lock().contains("the last event") {
+        assert!(Instant::now() < end, "the last line was not written");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let text = text.lock();
+    let lines: Vec<serde_json::Value> =
+        text.lines().map(|line| serde_json::from_str(line).expect("a line of JSON")).collect();
+    let written = lines.iter().filter(|line| line["event"] == "an event").count();
+    let left_out: u64 = lines.iter().filter_map(|line| line["left_out"].as_u64()).sum();
+    assert!(written < 1000, "{written} lines were written");
+    assert_eq!(written as u64 + left_out, LINES as u64);
+}
