--- /dev/null
+++ b/crates/process/entry/src/answering.rs
@@ -0,0 +1,49 @@
+//! Listeners whose requests are answered at once from what this node knows.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::process::Process;
+use crate::serve::Answer;
+
+/// The pause after a failed accept; the cause is most often a lack of file
+/// descriptors, which passes when others are closed.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Answers every request on `listener` by `answer`.
+pub(crate) async fn accept(
+    process: Rc<Process>,
+    listener: TcpListener,
+    answer: fn(&Process, &Request<Incoming>) -> Answer,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(target: "node", error:% = error; "Accept failed.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let process = Rc::clone(&process);
+        let service = service_fn(move |request| {
+            let answer = answer(&process, &request);
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        spawn_local(async move {
+            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                log::debug!(target: "node", "A connection ended early: {error}.");
+            }
+        });
+    }
+}
--- a/crates/process/entry/src/front.rs
+++ b/crates/process/entry/src/front.rs
@@ -19,13 +19,11 @@
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use crate::answering::ACCEPT_PAUSE;
 use crate::process::Process;
 use crate::serve;
 use crate::upstream;
 
-/// The pause after a failed accept; the cause is most often a lack of file
-/// descriptors, which passes when others are closed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The smallest buffer that the HTTP library takes for a header, in bytes.
 const LEAST_HEADER_BUFFER: usize = 8 << 10;
 /// Added to the idle timeout of callers' connections, so that the node is not
--- a/crates/process/entry/src/handover.rs
+++ b/crates/process/entry/src/handover.rs
@@ -4,10 +4,8 @@
 //! Invariant: what a peer told is only taken while the registry has told nothing;
 //! the registry's own list then replaces it.
 
-use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,12 +15,8 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -51,32 +45,8 @@
     pub(crate) servers: Vec<Entry>,
 }
 
-/// Answers nodes that ask, on `listener`.
-pub(crate) async fn accept(process: Rc<Process>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(target: "members", error:% = error; "Accept failed.");
-                tokio::time::sleep(ASK_LIMIT).await;
-                continue;
-            }
-        };
-        let process = Rc::clone(&process);
-        let service = service_fn(move |_: Request<Incoming>| {
-            let answer = answer(&process);
-            async move { Ok::<_, Infallible>(answer) }
-        });
-        spawn_local(async move {
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = serving.await {
-                log::debug!(target: "members", "A peer's connection ended early: {error}.");
-            }
-        });
-    }
-}
-
-fn answer(process: &Process) -> Answer {
+/// Answers a node that asks.
+pub(crate) fn answer(process: &Process, _request: &Request<Incoming>) -> Answer {
     let Some(config) = process.config.borrow().clone() else {
         return serve::refusal(StatusCode::SERVICE_UNAVAILABLE, None);
     };
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod settings;
 pub mod source;
 
+mod answering;
 mod beat;
 mod drive;
 mod exchange;
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -2,9 +2,7 @@
 //! has counted.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,10 +13,6 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::HeaderValue;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
 
 use crate::members::Standing;
 use crate::process::Process;
@@ -33,32 +27,8 @@
 /// How long callers keep an answer: a stopping node goes on accepting for longer.
 pub(crate) const KEEP: Duration = Duration::from_secs(2);
 
-/// Answers lookups, readiness questions and scrapes on `listener`.
-pub(crate) async fn accept(process: Rc<Process>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(target: "lookup", error:% = error; "Accept failed.");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            }
-        };
-        let process = Rc::clone(&process);
-        let service = service_fn(move |request| {
-            let answer = answer(&process, &request);
-            async move { Ok::<_, Infallible>(answer) }
-        });
-        tokio::task::spawn_local(async move {
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = serving.await {
-                log::debug!(target: "lookup", "A connection ended early: {error}.");
-            }
-        });
-    }
-}
-
-fn answer(process: &Process, request: &Request<Incoming>) -> Answer {
+/// Answers a lookup, a readiness question or a scrape.
+pub(crate) fn answer(process: &Process, request: &Request<Incoming>) -> Answer {
     if process.protocol.is_readiness(request.uri()) {
         let status =
             if process.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
+use crate::answering;
 use crate::beat;
 use crate::clock::Clock;
 use crate::follow;
@@ -94,18 +95,19 @@
     let connections = TaskTracker::new();
     let (close, closing) = watch::channel(false);
     spawn_local(front::accept(Rc::clone(&process), callers, connections.clone(), closing));
-    spawn_local(lookup::accept(Rc::clone(&process), readiness));
+    spawn_local(answering::accept(Rc::clone(&process), readiness, lookup::answer));
     if let Some(lookups) = lookups {
-        spawn_local(lookup::accept(Rc::clone(&process), lookups));
+        spawn_local(answering::accept(Rc::clone(&process), lookups, lookup::answer));
     }
     if let Some(address) = process.settings.metrics {
-        spawn_local(lookup::accept(Rc::clone(&process), listen(address).await?));
+        let metrics = listen(address).await?;
+        spawn_local(answering::accept(Rc::clone(&process), metrics, lookup::answer));
     }
     spawn_local(follow::run(Rc::clone(&process), Kind::Config));
     spawn_local(follow::run(Rc::clone(&process), Kind::Servers));
     spawn_local(follow::meet(Rc::clone(&process)));
     spawn_local(follow::expire(Rc::clone(&process)));
-    spawn_local(handover::accept(Rc::clone(&process), peers));
+    spawn_local(answering::accept(Rc::clone(&process), peers, handover::answer));
     spawn_local(beat::send(Rc::clone(&process), Rc::clone(&socket)));
     spawn_local(beat::hear(Rc::clone(&process), socket));
 
--- a/crates/process/node/src/lib.rs
+++ b/crates/process/node/src/lib.rs
@@ -2,7 +2,6 @@
 
 #![deny(missing_docs)]
 
-pub mod clock;
 pub mod connection;
 pub mod journal;
 pub mod logging;
--- a/crates/process/node/src/process/state.rs
+++ b/crates/process/node/src/process/state.rs
@@ -16,7 +16,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::process::experiments::Tallies;
 use crate::process::pulse::Pulse;
@@ -32,6 +31,7 @@
 use conf::object::Object;
 use conf::object::Policy;
 use conf::settings::Node;
+use entry::clock::Clock;
 use once::table;
 use peer::mesh::Mesh;
 use peer::stop::Phase;
--- a/crates/process/node/src/process/upstreams.rs
+++ b/crates/process/node/src/process/upstreams.rs
@@ -8,13 +8,13 @@
 
 use parking_lot::Mutex;
 
-use crate::clock::Clock;
 use crate::request::drive;
 use crate::request::drive::Ended;
 use base::entity::Server;
 use base::entity::Shard;
 use base::time::Time;
 use conf::object::Choice;
+use entry::clock::Clock;
 use pool::error::Error;
 use pool::error::Lost;
 use pool::process::Gate;
--- a/crates/process/node/src/request/admission.rs
+++ b/crates/process/node/src/request/admission.rs
@@ -9,7 +9,6 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
 use admit::ask::Action;
 use admit::ask::Ask;
 use admit::ask::Id;
@@ -18,6 +17,7 @@
 use admit::ask::Verdict;
 use admit::gate::Gate;
 use base::time::Time;
+use entry::clock::Clock;
 
 type Told = Result<(), Refusal>;
 
--- a/crates/process/node/src/request/drive.rs
+++ b/crates/process/node/src/request/drive.rs
@@ -18,7 +18,6 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::clock::Clock;
 use crate::request::core::Core;
 use crate::request::right::Phase;
 use crate::request::right::Right;
@@ -26,6 +25,7 @@
 use base::entity::Server;
 use base::entity::Shard;
 use base::time::Time;
+use entry::clock::Clock;
 use pool::error::Error;
 use pool::error::Unsent;
 use pool::process::Pool;
--- a/crates/process/node/src/request/right.rs
+++ b/crates/process/node/src/request/right.rs
@@ -8,7 +8,6 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::clock::Clock;
 use crate::request::core::Core;
 use crate::request::drive::Claim;
 use crate::request::drive::Ended;
@@ -16,6 +15,7 @@
 use base::entity::Attempt;
 use base::entity::Server;
 use base::time::Time;
+use entry::clock::Clock;
 use pool::error::Error;
 use pool::process::Permit;
 use pool::reply::Reply;
--- a/crates/process/node/src/request/ticket.rs
+++ b/crates/process/node/src/request/ticket.rs
@@ -9,9 +9,9 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::clock::Clock;
 use crate::request::drive::Claim;
 use base::time::Time;
+use entry::clock::Clock;
 use once::outcome::Final;
 use once::table::Begin;
 use once::table::Table;
