entry: a watch waits four seconds, not 25

Now a watch waits 4 s, after a failure 1 s, so that a dead one is noticed before the store counts as stable again. Test with a store that forgets what it was asked while it was silent: 404 on the new route before, 200 after.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -198,8 +198,11 @@
     loop {
         {
             let objects = shared.objects.lock();
-            if objects.mood != Mood::Sound {
-                return Err(io::ErrorKind::ConnectionReset.into());
+            match objects.mood {
+                Mood::Sound => {}
+                // What was asked before the silence is not answered after it either.
+                Mood::Silent => break,
+                Mood::Busy | Mood::Resets => return Err(io::ErrorKind::ConnectionReset.into()),
             }
             if since < objects.oldest {
                 return Ok(http::text(StatusCode::GONE, ""));
@@ -217,4 +220,5 @@
             continue;
         }
     }
+    std::future::pending().await
 }
--- a/crates/process/entry/src/follow.rs
+++ b/crates/process/entry/src/follow.rs
@@ -21,8 +21,12 @@
 use site::fleet::Change;
 use site::snapshot::Snapshot;
 
-/// The longest time that a watch waits at the registry.
-const WATCH: Duration = Duration::from_secs(25);
+/// The longest time that a watch waits at the registry. A registry that was
+/// silent never answers what it was asked meanwhile, so that a watch may be dead
+/// for this long after its return.
+const WATCH: Duration = Duration::from_secs(4);
+/// The same after a failure, when the registry may still be silent.
+const WATCH_AFTER_FAILURE: Duration = Duration::from_secs(1);
 /// The pause after changes came, so that those that follow cost one call.
 const GATHER: Duration = Duration::from_millis(350);
 /// The pause after a failed call, doubled with each up to the longest.
@@ -38,7 +42,10 @@
     loop {
         let call = match revision {
             None => process.source.list(kind).await,
-            Some(revision) => process.source.watch(kind, revision, WATCH).await,
+            Some(revision) => {
+                let wait = if failures > 0 { WATCH_AFTER_FAILURE } else { WATCH };
+                process.source.watch(kind, revision, wait).await
+            }
         };
         process.metrics.registry_call(if call.is_ok() { "answered" } else { "failed" });
         match call {
--- a/crates/process/node/tests/deployed_path.rs
+++ b/crates/process/node/tests/deployed_path.rs
@@ -221,3 +221,25 @@
     })
     .await;
 }
+
+/// The time after an outage from which the store counts as stable.
+const STABLE_AFTER: Duration = Duration::from_secs(4);
+/// The time within which a version must then be in force.
+const APPLY: Duration = Duration::from_secs(3);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn watch_that_a_silent_store_forgot_is_asked_again() {
+    let world = World::start();
+    let node = world.ready_node().await;
+    world.store.set_mood(store::Mood::Silent);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    world.store.set_mood(store::Mood::Sound);
+    tokio::time::sleep(STABLE_AFTER).await;
+    let added = json!([{
+        "name": "new", "host": deployed::HOST, "path_prefix": "/new/", "route_type": "idempotent",
+        "timeout_ms": 8000, "objective_ms": 2000, "max_attempts": 2, "service": "plain"
+    }]);
+    world.store.put("config", "main", &config(9, added));
+    tokio::time::sleep(APPLY).await;
+    assert_eq!(node.send(request("1", "GET", "/new/", "")).await.status(), 200);
+}
