gather: one refused request does not use up the budget of all

The bound counts all sends now. The log's test waits until a node that has just started has a budget, so that it does not depend on the moment.

--- a/crates/process/node/tests/causes_in_log.rs
+++ b/crates/process/node/tests/causes_in_log.rs
@@ -28,6 +28,8 @@
     let world = World::start();
     world.of("plain").for_each(|shard| shard.set_mood(Mood::Sheds));
     let node = world.ready_node().await;
+    // A node that has just started has no budget for a second server yet.
+    tokio::time::sleep(std::time::Duration::from_secs(4)).await;
     assert_eq!(node.send(request("r1", "POST", "/book/", "x")).await.status(), 503);
     let lines = lines(&node, "r1").await;
     let outcome = outcome(&lines);
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -39,9 +39,9 @@
 /// How long a slot waits for a budget that is spent or servers that are busy.
 const DEFER: Duration = Duration::from_millis(15);
 
-/// The most sends to one service that did not run there: beyond them it is
-/// taken as lost, however much budget is left.
-const MOST_SENDS: usize = 8;
+/// The most sends of one request to one service, refused ones included: beyond
+/// them it is lost, so that one request does not use up the budget of all.
+const MOST_SENDS: u32 = 8;
 
 /// One request.
 #[derive(Debug)]
@@ -143,7 +143,7 @@
         let service = self.plan.parts[at];
         let slot = &mut self.slots[at];
         slot.alarm = Time::NEVER;
-        if slot.ran >= self.plan.attempts || slot.tried.len() >= MOST_SENDS {
+        if slot.ran >= self.plan.attempts || slot.sends >= MOST_SENDS {
             return self.lose(at);
         }
         let Some(choice) = advice.choose(now, service, self.plan.work, &slot.tried) else {
@@ -171,6 +171,7 @@
         let service = self.plan.parts[at];
         let slot = &mut self.slots[at];
         slot.tried.push(choice.server);
+        slot.sends += 1;
         slot.live += 1;
         slot.ran += 1;
         if self.plan.idempotent {
--- a/crates/request/gather/src/slot.rs
+++ b/crates/request/gather/src/slot.rs
@@ -22,6 +22,8 @@
     pub(crate) state: State<R>,
     /// The servers that were asked.
     pub(crate) tried: Vec<Server>,
+    /// Attempts made.
+    pub(crate) sends: u32,
     /// Attempts without an end.
     pub(crate) live: u32,
     /// Attempts that may have run.
@@ -41,6 +43,7 @@
         Self {
             state: State::Open,
             tried: Vec::new(),
+            sends: 0,
             live: 0,
             ran: 0,
             reached: false,
