--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -205,7 +205,7 @@
         id = message.id.to_str().unwrap_or_default(),
         route = route.name.as_ref(),
         elapsed_ms = elapsed.as_millis() as u64,
-        objective_ms = route.objective.as_millis() as u64,
+        aim_ms = route.objective.as_millis() as u64,
         late,
         patience_ms = message.deadline.since(arrived).as_millis() as u64,
         timeout_ms = route.timeout.as_millis() as u64,
