replica: the budget covers a whole window

Cause: the counts of 20 parts of a window were kept, the newest of which has only begun, so that extra sends were forgotten after 9.5 to 10 s; two bursts 9.6 s apart took 1.7 times the bound. One part more is kept. Test: bursts_at_the_edges_of_a_window_keep_to_the_budget, red before.

--- a/crates/version/replica/src/budget.rs
+++ b/crates/version/replica/src/budget.rs
@@ -16,8 +16,11 @@
 use base::entity::Service;
 use base::time::Time;
 
-/// Parts that a window is counted in.
+/// Parts that a window is divided into.
 const PARTS: usize = 20;
+/// Parts that are counted: the newest one has only begun, so that one more than
+/// a window's is needed to cover a whole window.
+const KEPT: usize = PARTS + 1;
 
 /// The bounds on extra requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,28 +46,28 @@
 
 #[derive(Clone, Debug)]
 struct Window {
-    parts: [Count; PARTS],
+    parts: [Count; KEPT],
     /// The number of the newest part since the beginning of time.
     newest: u64,
 }
 
 impl Default for Window {
     fn default() -> Self {
-        Self { parts: [Count::default(); PARTS], newest: 0 }
+        Self { parts: [Count::default(); KEPT], newest: 0 }
     }
 }
 
 impl Window {
     fn turn(&mut self, part: u64) {
-        let passed = part.saturating_sub(self.newest).min(PARTS as u64);
+        let passed = part.saturating_sub(self.newest).min(KEPT as u64);
         for number in 0..passed {
-            self.parts[((part - number) % PARTS as u64) as usize] = Count::default();
+            self.parts[((part - number) % KEPT as u64) as usize] = Count::default();
         }
         self.newest = self.newest.max(part);
     }
 
     fn newest(&mut self) -> &mut Count {
-        &mut self.parts[(self.newest % PARTS as u64) as usize]
+        &mut self.parts[(self.newest % KEPT as u64) as usize]
     }
 
     fn sum(&self) -> Count {
