entry, gather, replica: take out what nothing uses

From a read of the whole change: a member's silence was kept beside the interval that it follows from; the pace took a time that it did not read; a server's record kept its data centre, which only its distance is made of; two questions to a request's machine had no asker. Behaviour is the same.

--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -57,8 +57,6 @@
 #[derive(Debug)]
 pub struct Members {
     own: IpAddr,
-    /// The time without a beat after which a node is silent.
-    silence: Duration,
     members: HashMap<IpAddr, Member>,
     known: Vec<IpAddr>,
 }
@@ -75,7 +73,7 @@
 impl Members {
     /// The members seen from the node at `own`.
     pub fn new(own: IpAddr) -> Self {
-        Self { own, silence: BEAT * MISSED_BEATS, members: HashMap::new(), known: Vec::new() }
+        Self { own, members: HashMap::new(), known: Vec::new() }
     }
 
     /// Takes in the address of a node that may exist.
@@ -122,8 +120,7 @@
     /// How the node at `ip` stands.
     pub fn standing(&self, now: Time, ip: IpAddr) -> Standing {
         let Some(member) = self.members.get(&ip) else { return Standing::Silent };
-        let silence = self.silence.max(self.interval() * MISSED_BEATS);
-        if now.since(member.heard) > silence {
+        if now.since(member.heard) > self.interval() * MISSED_BEATS {
             Standing::Silent
         } else if member.beat.ready && !member.beat.leaving {
             Standing::Ready
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -75,16 +75,6 @@
         &self.plan
     }
 
-    /// Whether the last word is said.
-    pub fn is_done(&self) -> bool {
-        self.done
-    }
-
-    /// Attempts made so far.
-    pub fn sends(&self) -> usize {
-        self.tries.len()
-    }
-
     /// Handles one event; what is to be done is added to `actions`.
     pub fn handle(
         &mut self,
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -481,7 +481,7 @@
         let work = self.nodes[node].pace.mean();
         let took = self.nodes[node].table.ended(now, server, sent, sent, work, told);
         if let Some(took) = took {
-            self.nodes[node].pace.sample(now, took);
+            self.nodes[node].pace.sample(took);
         }
         if self.requests[request].done {
             return;
--- a/crates/version/replica/src/pace.rs
+++ b/crates/version/replica/src/pace.rs
@@ -5,8 +5,6 @@
 
 use std::time::Duration;
 
-use base::time::Time;
-
 /// The samples that a new one is weighed against.
 const MEMORY: f64 = 64.0;
 /// Samples above this multiple of the present pace count as this multiple, so
@@ -33,7 +31,7 @@
     }
 
     /// Takes in the time that a server took.
-    pub fn sample(&mut self, _now: Time, took: Duration) {
+    pub fn sample(&mut self, took: Duration) {
         let clipped = (took.as_micros() as f64).clamp(LEAST_US, self.mean_us * CLIP);
         self.samples = (self.samples + 1.0).min(MEMORY);
         self.mean_us += (clipped - self.mean_us) / self.samples.max(4.0);
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -4,7 +4,6 @@
 //! while it is fresh.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use base::entity::Service;
@@ -63,8 +62,6 @@
     pub service: Service,
     /// How far it is.
     pub distance: Distance,
-    /// Its data centre.
-    pub data_centre: Arc<str>,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it may get work.
@@ -91,7 +88,6 @@
             address,
             service,
             distance,
-            data_centre: Arc::from(""),
             slots: 1,
             in_use: true,
             lapsing: false,
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -216,7 +216,6 @@
             }
         };
         let record = &mut self.servers[server];
-        record.data_centre = Arc::clone(&entry.data_centre);
         record.slots = entry.slots.max(1);
         record.lapsing = false;
         record.in_use = true;
