peer: a node that was suspected is not fresh until it compared with a peer

The node could also answer a probe before its clock loop had run. Ruled out: pushes that waited in its socket (suspected members get none).

--- a/crates/process/peer/src/fresh.rs
+++ b/crates/process/peer/src/fresh.rs
@@ -45,23 +45,46 @@
     started: Time,
     reached: bool,
     done: bool,
+    doubted: bool,
     peers: BTreeMap<Incarnation, Compared>,
 }
 
 impl Fresh {
     /// A node that starts, or wakes from a pause, at `now`.
     pub fn new(settings: Settings, now: Time) -> Self {
-        Self { settings, started: now, reached: false, done: false, peers: BTreeMap::new() }
+        Self {
+            settings,
+            started: now,
+            reached: false,
+            done: false,
+            doubted: false,
+            peers: BTreeMap::new(),
+        }
     }
 
     /// Everything that the platform held was received.
     pub fn platform_synced(&mut self) {
         self.reached = true;
         self.done = true;
+        self.doubted = false;
+    }
+
+    /// The node may have missed what was new for a moment: it compares with one
+    /// peer that was not passed over, or with another that may have been.
+    pub fn doubt(&mut self) {
+        self.doubted = true;
+        self.peers.clear();
+    }
+
+    /// Whether the node has been fresh, and at most missed what was new lately.
+    pub fn has_been(&self) -> bool {
+        self.done
     }
 
     /// The peers that are up now. New ones must be compared with too.
     pub fn peers(&mut self, up: &[Incarnation]) {
+        // Without peers there is nobody who may know more.
+        self.doubted &= !up.is_empty();
         self.peers.retain(|peer, _| up.contains(peer));
         for peer in up {
             self.peers.entry(*peer).or_insert(Compared::No);
@@ -82,6 +105,7 @@
     /// All objects were compared with `peer`, and what it held higher was taken.
     pub fn compared(&mut self, peer: Incarnation, peer_is_fresh: bool) {
         let compared = if peer_is_fresh { Compared::WithFresh } else { Compared::WithStale };
+        self.doubted &= !peer_is_fresh;
         self.peers.insert(peer, compared);
     }
 
@@ -95,7 +119,7 @@
         if !self.done {
             self.done = self.peers_suffice(now);
         }
-        self.done
+        self.done && !self.doubted
     }
 
     fn peers_suffice(&self, now: Time) -> bool {
--- a/crates/process/peer/src/loops.rs
+++ b/crates/process/peer/src/loops.rs
@@ -13,7 +13,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::connect::Failed;
-use crate::fresh::Fresh;
 use crate::link::Exchange;
 use crate::link::LinkClient;
 use crate::link::News;
@@ -94,13 +93,7 @@
 }
 
 async fn tick(core: Arc<Core>, _: u32) {
-    let now = core.now();
-    let ticked = core.table.lock().tick(now);
-    log_changes(&ticked.changes);
-    if ticked.woke {
-        log::warn!(target: "peer", "this process was paused, joining again");
-        *core.fresh.lock() = Fresh::new(core.settings.fresh.clone(), now);
-    }
+    core.look();
 }
 
 async fn probe(core: Arc<Core>, _: u32) {
--- a/crates/process/peer/src/member.rs
+++ b/crates/process/peer/src/member.rs
@@ -7,8 +7,9 @@
 //! along on probes and their answers.
 //!
 //! Invariants: a dead incarnation is never alive again unless it refutes with a
-//! higher sequence; [`crate::record::Leave`] never goes back; a node that finds
-//! that it was paused forgets whom it knew and is not fresh until it has caught up.
+//! higher sequence; [`crate::record::Leave`] never goes back; a node that stood still
+//! for long enough to be suspected, or was, is not fresh until it has caught up;
+//! after a long pause it also forgets whom it knew.
 //!
 //! Today every node knows every other. [`crate::summary`] gives what data
 //! centres are to tell each other when full membership ends at their borders.
@@ -81,6 +82,8 @@
 pub struct Ticked {
     /// The process was paused: join again before claiming to be fresh.
     pub woke: bool,
+    /// Others may have passed this node over: compare before claiming to be fresh.
+    pub doubted: bool,
     /// Members that are dead now.
     pub changes: Vec<Change>,
 }
@@ -117,6 +120,7 @@
     rumors: Vec<Rumor>,
     known_peers: Vec<SocketAddr>,
     ticked: Option<Time>,
+    doubted: bool,
     random: ChaCha8Rng,
 }
 
@@ -131,6 +135,7 @@
             rumors: Vec::new(),
             known_peers: Vec::new(),
             ticked: None,
+            doubted: false,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -230,9 +235,17 @@
         if wrong && said.sequence >= self.own.sequence {
             self.own.sequence = said.sequence + 1;
             self.spread(self.own.incarnation);
+            self.doubt();
         }
     }
 
+    /// What is new went to the members that were thought to be up, so this node
+    /// may have missed some of it.
+    fn doubt(&mut self) {
+        self.doubted |= self.own.fresh;
+        self.update(|own| own.fresh = false);
+    }
+
     /// The next member to probe, each in turn.
     pub fn next_probe(&mut self) -> Option<Target> {
         loop {
@@ -306,13 +319,20 @@
     }
 
     /// Time has passed: suspicions end, dead members are forgotten, and a gap
-    /// since the last tick shows that this process was paused.
+    /// since the last tick shows that this process was paused. A direct probe and
+    /// the indirect ones fail within a period, so after a gap longer than that
+    /// this node may be suspected.
     pub fn tick(&mut self, now: Time) -> Ticked {
-        let last = self.ticked.replace(now).unwrap_or(now);
-        if now.since(last) >= self.settings.pause {
+        let gap = now.since(self.ticked.replace(now).unwrap_or(now));
+        if gap >= self.settings.pause {
             self.wake();
-            return Ticked { woke: true, changes: Vec::new() };
+            self.doubted = false;
+            return Ticked { woke: true, ..Ticked::default() };
+        }
+        if gap > self.settings.period {
+            self.doubt();
         }
+        let doubted = std::mem::take(&mut self.doubted);
         let (suspicion, forget) = (self.settings.suspicion, self.settings.forget);
         let over = |slot: &&Slot| {
             slot.record.state == State::Suspect && now.since(slot.since) >= suspicion
@@ -323,7 +343,7 @@
             dead.into_iter().filter_map(|inc| self.degrade(inc, State::Dead, now)).collect();
         self.slots
             .retain(|_, slot| slot.record.state != State::Dead || now.since(slot.since) < forget);
-        Ticked { woke: false, changes }
+        Ticked { woke: false, doubted, changes }
     }
 
     /// What this node knows is old by the length of the pause, and its peers may
--- a/crates/process/peer/src/serve.rs
+++ b/crates/process/peer/src/serve.rs
@@ -101,6 +101,7 @@
 
     async fn members(self, _: Context, digest: u64) -> Vec<Record> {
         Meter::add(&self.core.meter.answered);
+        self.core.look();
         let table = self.core.table.lock();
         if table.digest() == digest { Vec::new() } else { table.all().cloned().collect() }
     }
@@ -113,7 +114,7 @@
     async fn digest(self, _: Context, root: Root) -> Digest {
         Meter::add(&self.core.meter.answered);
         let now = self.core.now();
-        let fresh = self.core.table.lock().own().fresh;
+        let fresh = self.core.fresh.lock().has_been();
         let spread = self.core.spread.lock();
         let ours = spread.root();
         let buckets =
--- a/crates/process/peer/src/shared.rs
+++ b/crates/process/peer/src/shared.rs
@@ -74,14 +74,31 @@
         self.news.notify_one();
     }
 
+    /// Looks at the clock. Comes before the own record is told to anyone, so that
+    /// a node that stood still does not claim to be fresh first.
+    pub(crate) fn look(&self) {
+        let now = self.now();
+        let ticked = self.table.lock().tick(now);
+        log_changes(&ticked.changes);
+        if ticked.woke {
+            log::warn!(target: "peer", "this process was paused, joining again");
+            *self.fresh.lock() = Fresh::new(self.settings.fresh.clone(), now);
+        } else if ticked.doubted {
+            log::info!(target: "peer", "others may have passed this node over, comparing");
+            self.fresh.lock().doubt();
+        }
+    }
+
     /// What this node says when it probes `peer`.
     pub(crate) fn probe_message(&self, peer: SocketAddr) -> Probe {
+        self.look();
         let mut table = self.table.lock();
         let rumors = table.rumors();
         Probe { from: table.own().clone(), opinions: table.opinions(peer), rumors }
     }
 
     pub(crate) fn answer_probe(&self, probe: Probe) -> Ack {
+        self.look();
         let now = self.now();
         let longest_keep_ms =
             u32::try_from(self.settings.stop.keep.as_millis()).unwrap_or(u32::MAX);
--- a/crates/process/peer/tests/fresh_start.rs
+++ b/crates/process/peer/tests/fresh_start.rs
@@ -70,3 +70,25 @@
     }
     assert!(fresh.is_fresh(outage()));
 }
+
+#[test]
+fn doubt_ends_with_one_peer_that_has_been_fresh() {
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    fresh.platform_synced();
+    fresh.doubt();
+    fresh.peers(&nodes(3));
+    assert!(!fresh.is_fresh(Time::ZERO));
+    fresh.compared(Incarnation(1), false);
+    assert!(!fresh.is_fresh(Time::ZERO), "it has never been fresh itself");
+    fresh.compared(Incarnation(2), true);
+    assert!(fresh.is_fresh(Time::ZERO));
+}
+
+#[test]
+fn doubt_of_a_node_without_peers_ends() {
+    let mut fresh = Fresh::new(Settings::default(), Time::ZERO);
+    fresh.platform_synced();
+    fresh.doubt();
+    fresh.peers(&[]);
+    assert!(fresh.is_fresh(Time::ZERO));
+}
--- a/crates/process/peer/tests/member_faults.rs
+++ b/crates/process/peer/tests/member_faults.rs
@@ -244,3 +244,33 @@
     assert_eq!(state(1), Some(State::Dead));
     assert_eq!(state(77), Some(State::Alive));
 }
+
+/// A node that was suspected while it stood still, however short, does not claim
+/// to be fresh when it goes on: it may have been passed over.
+#[test]
+fn frozen_node_that_was_suspected_is_not_fresh() {
+    for periods in 2..=8 {
+        for seed in 0..20 {
+            let mut net = Net::new(seed);
+            (0..4).for_each(|_| net.period());
+            net.faults[1] = Fault::Frozen;
+            (0..periods).for_each(|_| net.period());
+            let suspected = net.states(1).iter().any(|state| *state != State::Alive);
+            net.faults[1] = Fault::None;
+            net.tables[1].tick(net.now);
+            let claims = net.tables[1].own().is_nameable();
+            assert!(!suspected || !claims, "seed {seed}, {periods} periods");
+        }
+    }
+}
+
+#[test]
+fn node_that_refutes_a_suspicion_is_not_fresh() {
+    let mut net = Net::new(1);
+    let mut said = net.tables[1].own().clone();
+    said.state = State::Suspect;
+    net.tables[1].merge(vec![said], net.now);
+    assert!(!net.tables[1].own().fresh);
+    assert!(net.tables[1].tick(net.now).doubted, "it is to compare with a peer");
+    assert!(!net.tables[1].tick(net.now).doubted, "once");
+}
