entry: no request waits for a server that can't be connected to

Cause: after a failed connect a server was left alone for 250 ms, and then the next request waited for a new connect of up to 400 ms again. With all servers of a shard silent, queries waited for it, and requests for one service were refused only after 0.8 s. Now a further connect is tried beside the requests; they are told at once. Ruled out: silence on open connections, which TCP closes after 1.5 s as before.

--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -2,8 +2,10 @@
 //! opened ahead, and each used for one request at a time.
 //!
 //! Invariant: a connection whose last reply was not read to its end is closed
-//! and never used again.
+//! and never used again. No request waits for a server to which the last
+//! connection could not be opened and none is left.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +25,7 @@
 use crate::process::ByServer;
 use base::entity::Server;
 use base::time::Time;
+use pool::lane;
 use pool::lane::Connection;
 use pool::lane::Lane;
 
@@ -61,8 +64,16 @@
 struct Place {
     door: Door,
     address: SocketAddr,
+    reach: Rc<Reach>,
+}
+
+/// Whether a server can be connected to.
+#[derive(Debug, Default)]
+struct Reach {
+    /// Whether the last connection could not be opened.
+    failed: Cell<bool>,
     /// Until when no connection is opened.
-    closed_until: Rc<std::cell::Cell<Time>>,
+    closed_until: Cell<Time>,
 }
 
 /// Why no connection was had.
@@ -92,7 +103,7 @@
         let place = places[server].get_or_insert_with(|| Place {
             door: Rc::new(RefCell::new(Lane::new(share, MOST_WAITING))),
             address,
-            closed_until: Rc::default(),
+            reach: Rc::default(),
         });
         let surplus = place.door.borrow_mut().resize(share);
         surplus.iter().for_each(|link| link.task.abort());
@@ -111,10 +122,16 @@
     pub(crate) fn warm(&self, server: Server) {
         let places = self.places.borrow();
         let Some(place) = &places[server] else { return };
-        if self.clock.now() < place.closed_until.get() {
+        self.try_open(place, 1);
+    }
+
+    /// Opens a connection if the pause after the last failure is over and it is
+    /// called for.
+    fn try_open(&self, place: &Place, warm: u32) {
+        if self.clock.now() < place.reach.closed_until.get() {
             return;
         }
-        let begun = place.door.borrow_mut().begin(1);
+        let begun = place.door.borrow_mut().begin(warm);
         if let Some(id) = begun {
             tokio::task::spawn_local(open(self.clock, Opening::new(place, id)));
         }
@@ -133,15 +150,14 @@
                 link.task.abort();
                 door.borrow_mut().free(id);
             }
-            if door.borrow().open() == 0 && self.clock.now() < place.closed_until.get() {
+            let busy = door.borrow().count(lane::Place::Busy);
+            if place.reach.failed.get() && busy == 0 {
+                self.try_open(place, 1);
                 return Err(Failure::Unreachable);
             }
             let (sender, grant) = oneshot::channel();
             let waiter = door.borrow_mut().wait(sender).map_err(|_| Failure::Full)?;
-            let begun = door.borrow_mut().begin(0);
-            if let Some(id) = begun {
-                tokio::task::spawn_local(open(self.clock, Opening::new(place, id)));
-            }
+            self.try_open(place, 0);
             (Leave { door, waiter }, grant)
         };
         let granted = grant.await;
@@ -226,20 +242,14 @@
     door: Door,
     id: Connection,
     address: SocketAddr,
-    closed_until: Rc<std::cell::Cell<Time>>,
+    reach: Rc<Reach>,
     opened: bool,
 }
 
 impl Opening {
     fn new(place: &Place, id: Connection) -> Self {
-        let closed_until = Rc::clone(&place.closed_until);
-        Self {
-            door: Rc::clone(&place.door),
-            id,
-            address: place.address,
-            closed_until,
-            opened: false,
-        }
+        let (door, reach) = (Rc::clone(&place.door), Rc::clone(&place.reach));
+        Self { door, id, address: place.address, reach, opened: false }
     }
 }
 
@@ -256,6 +266,7 @@
     let failure = match opened {
         Ok(Ok((sender, connection))) => {
             opening.opened = true;
+            opening.reach.failed.set(false);
             let (door, id) = (Rc::clone(&opening.door), opening.id);
             let ended = Rc::clone(&opening.door);
             let task = tokio::task::spawn_local(async move {
@@ -272,7 +283,8 @@
         Err(_) => format!("not opened within {} ms", CONNECT_LIMIT.as_millis()),
     };
     log::info!(target: "upstream", address:% = opening.address, error = failure.as_str(); "Connect failed.");
-    opening.closed_until.set(clock.now() + CONNECT_PAUSE);
+    opening.reach.failed.set(true);
+    opening.reach.closed_until.set(clock.now() + CONNECT_PAUSE);
     // Whoever waits is told, unless another connection may serve them.
     if opening.door.borrow().open() <= 1 {
         while opening.door.borrow_mut().call().is_some() {}
