entry: the log tells what was decided on a request that did not go well

Missing so far: why a server was chosen, requests refused before a plan, servers passed over after failures and back, and how many nodes share the caps. The sends of a request are kept while it runs and written only if it fails, is late or lacks a shard. Tests read the lines back by the request's id.

--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -19,6 +19,7 @@
 use crate::exchange::Reply;
 use crate::process::Process;
 use crate::process::Seen;
+use crate::trace::Trace;
 use base::entity::Server;
 use base::entity::Service;
 use base::time::Time;
@@ -79,6 +80,7 @@
     mut machine: Machine<Reply>,
     message: Rc<Message>,
     seen: Rc<RefCell<Seen>>,
+    trace: &mut Trace,
 ) -> Final<Reply> {
     let work = machine.plan().work;
     let mut attempts: Attempts = FuturesUnordered::new();
@@ -94,12 +96,14 @@
         }
         for action in actions.drain(..) {
             match action {
-                Action::Send { attempt, server, extra, .. } => {
+                Action::Send { attempt, service, choice, turn, extra, spent } => {
+                    trace.sent(process, service, choice, turn, spent);
                     if extra {
                         process.metrics.extra();
                     }
                     let (process, message) = (Rc::clone(process), Rc::clone(&message));
-                    attempts.push(Box::pin(exchange::run(process, message, attempt, server, work)));
+                    let asking = exchange::run(process, message, attempt, choice.server, work);
+                    attempts.push(Box::pin(asking));
                 }
                 Action::Wake(at) => sleep.as_mut().reset(process.clock.instant(at)),
                 Action::Finish(last) => {
@@ -110,7 +114,12 @@
         }
         event = tokio::select! {
             biased;
-            Some(done) = attempts.next() => told(process, &message, &seen, done),
+            Some(done) = attempts.next() => {
+                if matches!(done.outcome, Outcome::Answered(_)) {
+                    trace.replied(process.clock.now(), done.attempt);
+                }
+                told(process, &message, &seen, done)
+            }
             () = sleep.as_mut() => Event::Timer,
         };
     }
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -88,7 +88,8 @@
         self.told = true;
         let now = self.process.clock.now();
         let sent = self.sent.unwrap_or(self.opened);
-        self.process.table.borrow_mut().ended(now, self.server, self.opened, sent, self.work, end)
+        let (server, work) = (self.server, self.work);
+        self.process.learn(server, |table| table.ended(now, server, self.opened, sent, work, end))
     }
 }
 
@@ -142,7 +143,8 @@
         Ok(lease) => lease,
         Err(upstream::Failure::Full) => return Outcome::NotSent("too many requests wait for it"),
         Err(upstream::Failure::Unreachable) => {
-            process.table.borrow_mut().unreachable(process.clock.now(), server);
+            let now = process.clock.now();
+            process.learn(server, |table| table.unreachable(now, server));
             return Outcome::NotSent("no connection");
         }
     };
--- a/crates/process/entry/src/follow.rs
+++ b/crates/process/entry/src/follow.rs
@@ -163,7 +163,7 @@
         }
         Snapshot::new(config, |name| table.service(name))
     };
-    log::info!(target: "config", version = config.version, before:? = known, routes = config.routes.len(); "A version is in force.");
+    log::info!(target: "config", version = config.version, before = known, routes = config.routes.len(); "A version is in force.");
     *process.snapshot.borrow_mut() = Some(Rc::new(snapshot));
     *process.config.borrow_mut() = Some(config.clone());
     share(process);
@@ -201,7 +201,10 @@
 /// Deals the servers' connections and the budget of extra requests anew.
 pub(crate) fn share(process: &Process) {
     let nodes = process.members.borrow().at_work(process.clock.now());
-    process.budget.borrow_mut().share(nodes);
+    let before = process.budget.borrow_mut().share(nodes);
+    if before != nodes {
+        log::info!(target: "limits", nodes, before; "Connections and extra requests are shared among the nodes at work.");
+    }
     let table = process.table.borrow();
     for server in table.in_use() {
         let record = table.record(server);
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -25,4 +25,5 @@
 mod metrics;
 mod process;
 mod serve;
+mod trace;
 pub mod upstream;
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -27,6 +27,7 @@
     _provider: SdkMeterProvider,
     latency: Histogram<f64>,
     requests: Counter<u64>,
+    turned_away: Counter<u64>,
     missing: Counter<u64>,
     attempts: Counter<u64>,
     extra: Counter<u64>,
@@ -46,6 +47,7 @@
             registry,
             latency: latency.with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build(),
             requests: meter.u64_counter("heatherseam_requests").build(),
+            turned_away: meter.u64_counter("heatherseam_requests_not_admitted").build(),
             missing: meter.u64_counter("heatherseam_missing_shards").build(),
             attempts: meter.u64_counter("heatherseam_attempts").build(),
             extra: meter.u64_counter("heatherseam_extra_sends").build(),
@@ -61,6 +63,11 @@
         self.requests.add(1, &labels);
     }
 
+    /// Counts a request that was refused with `status` before it was planned.
+    pub(crate) fn turned_away(&self, status: u16) {
+        self.turned_away.add(1, &[KeyValue::new("status", i64::from(status))]);
+    }
+
     /// Counts a shard that an answer lacks.
     pub(crate) fn missing(&self, cause: &'static str) {
         self.missing.add(1, &[KeyValue::new("cause", cause)]);
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -60,6 +60,28 @@
         !self.leaving.get() && self.servers_known.get() && self.snapshot.borrow().is_some()
     }
 
+    /// Lets the table learn of `server`, and tells the log if the server is
+    /// passed over from now on or no longer.
+    pub(crate) fn learn<T>(&self, server: Server, learn: impl FnOnce(&mut Table) -> T) -> T {
+        let mut table = self.table.borrow_mut();
+        let before = table.record(server).is_passed_over();
+        let learned = learn(&mut table);
+        let record = table.record(server);
+        if record.is_passed_over() != before {
+            let now = self.clock.now();
+            log::info!(
+                target: "servers",
+                server = record.life.id.as_ref(),
+                service = table.name(record.service).as_ref(),
+                failures = record.failures,
+                pause_ms = record.paused_until.since(now).as_millis() as u64,
+                passed_over = !before;
+                "A server's standing changed."
+            );
+        }
+        learned
+    }
+
     /// The server as its own replies name it.
     pub(crate) fn life_of(&self, server: Server) -> Arc<str> {
         Arc::clone(&self.table.borrow().record(server).life.id)
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -19,12 +19,15 @@
 use hyper::header;
 use hyper::http::HeaderName;
 use hyper::http::HeaderValue;
+use hyper::http::request::Parts;
 
 use crate::drive;
 use crate::exchange::Message;
 use crate::exchange::Reply;
 use crate::process::Process;
 use crate::process::Seen;
+use crate::protocol::Ask;
+use crate::trace::Trace;
 use base::time::Time;
 use gather::event::Cause;
 use gather::event::Final;
@@ -67,23 +70,15 @@
 pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
     let arrived = process.clock.now();
     let _busy = Busy::new(&process);
-    let Some(snapshot) = process.snapshot.borrow().clone() else {
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK_TO_START));
-    };
     let ask = process.protocol.ask(request.headers());
-    let Some(route) = route(&snapshot, &request) else {
-        return refusal(StatusCode::NOT_FOUND, None);
-    };
-    let Some(id) = ask.id.clone() else {
-        return refusal(StatusCode::BAD_REQUEST, None);
+    let snapshot = process.snapshot.borrow().clone();
+    let read = match snapshot {
+        Some(snapshot) => read(&snapshot, &ask, request).await,
+        None => Err(Unread::NoConfig),
     };
-    let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, snapshot.limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return refusal(StatusCode::PAYLOAD_TOO_LARGE, None);
-        }
-        Err(_) => return refusal(StatusCode::BAD_REQUEST, None),
+    let Read { snapshot, route, id, parts, body } = match read {
+        Ok(read) => read,
+        Err(unread) => return unread.answer(&process, ask.id.as_ref()),
     };
     let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
     let deadline = arrived + patience;
@@ -94,11 +89,73 @@
     let plan = plan(&process, &route, arrived, patience, &seen);
     let machine = Machine::new(plan);
     let message = Rc::new(message);
-    let last = drive::run(&process, machine, Rc::clone(&message), seen).await;
-    tell(&process, &route, &message, arrived, &last);
+    let mut trace = Trace::default();
+    let last = drive::run(&process, machine, Rc::clone(&message), seen, &mut trace).await;
+    if !tell(&process, &snapshot, &route, &message, arrived, &last) {
+        trace.tell(&process, &message, arrived, route.objective);
+    }
     answer(&process, &route, last)
 }
 
+/// A request that was read.
+struct Read {
+    snapshot: Rc<Snapshot>,
+    route: Arc<Route>,
+    id: HeaderValue,
+    parts: Parts,
+    body: Bytes,
+}
+
+/// Why a request was not read; it has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum Unread {
+    #[error("no configuration is known yet")]
+    NoConfig,
+    #[error("no route matches its host and path")]
+    NoRoute,
+    #[error("it has no id")]
+    NoId,
+    #[error("its body is above the limit")]
+    LongBody,
+    #[error("its body broke off")]
+    CutBody,
+}
+
+impl Unread {
+    /// What the caller is told; counts it, and tells the log.
+    fn answer(self, process: &Process, id: Option<&HeaderValue>) -> Answer {
+        let (status, come_back) = match self {
+            Self::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK_TO_START)),
+            Self::NoRoute => (StatusCode::NOT_FOUND, None),
+            Self::NoId | Self::CutBody => (StatusCode::BAD_REQUEST, None),
+            Self::LongBody => (StatusCode::PAYLOAD_TOO_LARGE, None),
+        };
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let known = process.snapshot.borrow().as_ref().map(|snapshot| snapshot.version);
+        process.metrics.turned_away(status.as_u16());
+        log::info!(target: "request", id, why:% = self, status = status.as_u16(), version = known; "not admitted");
+        refusal(status, come_back)
+    }
+}
+
+async fn read(
+    snapshot: &Rc<Snapshot>,
+    ask: &Ask,
+    request: Request<Incoming>,
+) -> Result<Read, Unread> {
+    let route = route(snapshot, &request).ok_or(Unread::NoRoute)?;
+    let id = ask.id.clone().ok_or(Unread::NoId)?;
+    let (parts, body) = request.into_parts();
+    let body = match Limited::new(body, snapshot.limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(Unread::LongBody);
+        }
+        Err(_) => return Err(Unread::CutBody),
+    };
+    Ok(Read { snapshot: Rc::clone(snapshot), route, id, parts, body })
+}
+
 /// The route of a request.
 fn route(snapshot: &Snapshot, request: &Request<Incoming>) -> Option<Arc<Route>> {
     let host = request.headers().get(header::HOST)?.to_str().ok()?;
@@ -178,8 +235,16 @@
     }
 }
 
-/// Counts a request, and tells the log if it did not go well.
-fn tell(process: &Process, route: &Route, message: &Message, arrived: Time, last: &Final<Reply>) {
+/// Counts a request, and tells the log if it did not go well; gives whether it
+/// did.
+fn tell(
+    process: &Process,
+    snapshot: &Snapshot,
+    route: &Route,
+    message: &Message,
+    arrived: Time,
+    last: &Final<Reply>,
+) -> bool {
     let outcome = match &last.word {
         Word::Answer(_) if last.missing.is_empty() => "answered",
         Word::Answer(_) => "answered in part",
@@ -192,7 +257,7 @@
     last.missing.iter().for_each(|(_, cause)| process.metrics.missing(cause.name()));
     let late = elapsed > route.objective;
     if outcome == "answered" && !late {
-        return;
+        return true;
     }
     let table = process.table.borrow();
     let missing: Vec<String> = last
@@ -209,9 +274,11 @@
         late,
         patience_ms = message.deadline.since(arrived).as_millis() as u64,
         timeout_ms = route.timeout.as_millis() as u64,
+        version = snapshot.version,
         missing = missing.join(", ");
         "{outcome}"
     );
+    false
 }
 
 /// A server's own reply, unchanged.
--- a/crates/process/node/src/journal.rs
+++ b/crates/process/node/src/journal.rs
@@ -36,8 +36,12 @@
 /// Lines of one part at once.
 const BURST: f64 = 400.0;
 
-/// Starts the log; it goes on while the handle lives.
-pub fn start(out: Box<dyn Write + Send>) -> Result<LoggerHandle, FlexiLoggerError> {
+/// Starts the log of what is at least as grave as `level`; it goes on while the
+/// handle lives.
+pub fn start(
+    out: Box<dyn Write + Send>,
+    level: LevelFilter,
+) -> Result<LoggerHandle, FlexiLoggerError> {
     let (queue, lines) = sync_channel(QUEUE);
     std::thread::Builder::new()
         .name("journal".to_owned())
@@ -45,7 +49,7 @@
         .map_err(FlexiLoggerError::OutputIo)?;
     let writer = Journal { queue, parts: Mutex::default(), left_out: AtomicU64::new(0) };
     let mut spec = LogSpecification::builder();
-    spec.default(LevelFilter::Info).module("hyper", LevelFilter::Off);
+    spec.default(level).module("hyper", LevelFilter::Off);
     Logger::with(spec.build()).log_to_writer(Box::new(writer)).start()
 }
 
--- a/crates/process/node/src/main.rs
+++ b/crates/process/node/src/main.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use log::LevelFilter;
 use miette::Report;
 
 use conf::settings;
@@ -32,7 +33,7 @@
         }
         Ok(Command::Check(file)) => check(&file),
         Ok(Command::Run(file)) => start(&file),
-        Ok(Command::Serve) => serve(),
+        Ok(Command::Serve(level)) => serve(level),
         Err(error) => {
             eprintln!("heatherseam: {error}");
             ExitCode::from(USAGE)
@@ -87,7 +88,7 @@
 }
 
 /// Runs a node on the platform: one thread, logs as JSON lines.
-fn serve() -> ExitCode {
+fn serve(level: LevelFilter) -> ExitCode {
     let Some(path) = std::env::var_os(platform::settings::PATH_VARIABLE) else {
         eprintln!("heatherseam: {} names no settings file", platform::settings::PATH_VARIABLE);
         return ExitCode::from(USAGE);
@@ -99,7 +100,7 @@
             return ExitCode::from(FAULTS);
         }
     };
-    let _log = match journal::start(Box::new(std::io::stdout())) {
+    let _log = match journal::start(Box::new(std::io::stdout()), level) {
         Ok(log) => log,
         Err(error) => {
             eprintln!("heatherseam: the log can't be started: {error}");
--- a/crates/process/node/src/options.rs
+++ b/crates/process/node/src/options.rs
@@ -3,14 +3,16 @@
 use std::path::PathBuf;
 
 use getopts::Options;
+use log::LevelFilter;
 
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
     /// Run an entry node with the settings of this file.
     Run(PathBuf),
-    /// Run an entry node on the platform, which names the settings file.
-    Serve,
+    /// Run an entry node on the platform, which names the settings file; log what
+    /// is at least as grave as this.
+    Serve(LevelFilter),
     /// Check this settings file and exit.
     Check(PathBuf),
     /// Print this text and exit.
@@ -26,6 +28,9 @@
     /// No settings file is named.
     #[error("name the settings file: heatherseam --settings FILE")]
     NoSettings,
+    /// The log level is none.
+    #[error("`{0}` is no log level: name off, error, warn, info, debug or trace")]
+    Level(String),
     /// Something stands behind the options.
     #[error("`{0}` is not understood; see heatherseam --help")]
     Extra(String),
@@ -35,6 +40,7 @@
     let mut options = Options::new();
     options.optopt("s", "settings", "run with the settings of FILE", "FILE");
     options.optopt("c", "check", "check FILE, print every fault with its place, and exit", "FILE");
+    options.optopt("l", "log-level", "with serve: off, error, warn, info, debug or trace", "LEVEL");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
     options
@@ -45,7 +51,7 @@
     let options = options();
     let matches = options.parse(arguments).map_err(|error| Error::Option(error.to_string()))?;
     if matches.opt_present("help") {
-        let brief = "Usage: heatherseam --settings FILE | --check FILE | serve\n\n\
+        let brief = "Usage: heatherseam --settings FILE | --check FILE | serve [--log-level LEVEL]\n\n\
                      An entry node of the heatherseam query tier. `serve` runs it on the\n\
                      platform, whose settings file the environment names.";
         return Ok(Command::Print(options.usage(brief)));
@@ -54,7 +60,9 @@
         return Ok(Command::Print(format!("heatherseam {}\n", env!("CARGO_PKG_VERSION"))));
     }
     if matches.free == ["serve"] {
-        return Ok(Command::Serve);
+        let level = matches.opt_str("log-level");
+        let parsed = level.as_deref().map_or(Ok(LevelFilter::Info), str::parse);
+        return parsed.map(Command::Serve).map_err(|_| Error::Level(level.unwrap_or_default()));
     }
     if let Some(extra) = matches.free.first() {
         return Err(Error::Extra(extra.clone()));
--- a/crates/process/node/tests/causes_in_log.rs
+++ b/crates/process/node/tests/causes_in_log.rs
@@ -52,6 +52,12 @@
     let attempt = |line: &&Value| line["why"] == "the reply has no proof";
     let server = lines.iter().find(attempt).expect("an attempt")["server"].to_string();
     assert!(server.contains("shard-b"), "{server}");
+    // Each send to that shard, with what decided it.
+    let sends: Vec<&Value> = lines.iter().filter(|line| line["part"] == "choice").collect();
+    assert_eq!(sends[0]["turn"], "first", "{sends:#?}");
+    assert!(sends.iter().all(|send| send["service"] == "shard-b"), "{sends:#?}");
+    assert!(sends.iter().all(|send| send["expected_ms"].is_u64()), "{sends:#?}");
+    assert!(sends.iter().all(|send| send["replied_ms"].is_null()), "{sends:#?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -67,3 +73,49 @@
     assert_eq!(attempts[0]["end"], "unknown");
     assert!(attempts[0]["server"].as_str().is_some_and(|server| server.starts_with("plain-")));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_is_not_admitted_names_why() {
+    let world = World::start();
+    let node = world.node();
+    until("it listens", async || node.metrics_answer().await).await;
+    assert_eq!(node.send(request("n1", "GET", "/search/", "")).await.status(), 503);
+    let told = lines(&node, "n1").await;
+    assert_eq!(outcome(&told)["why"], "no configuration is known yet");
+    world.publish();
+    node.ready().await;
+    assert_eq!(node.send(request("n2", "GET", "/nowhere/", "")).await.status(), 404);
+    let told = lines(&node, "n2").await;
+    assert_eq!(outcome(&told)["why"], "no route matches its host and path");
+    assert_eq!(outcome(&told)["version"], 3);
+    let long = "x".repeat(2000);
+    assert_eq!(node.send(request("n3", "POST", "/book/", &long)).await.status(), 413);
+    let told = lines(&node, "n3").await;
+    assert_eq!(outcome(&told)["why"], "its body is above the limit");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_is_passed_over_and_back_is_told() {
+    let world = World::start();
+    let failing = world.of("plain").next().expect("a server");
+    world.of("plain").for_each(|server| server.set_mood(Mood::LosesAnswers));
+    let node = world.ready_node().await;
+    let told = |passed_over: bool| {
+        let of = |line: &Value| line["server"] == failing.id && line["passed_over"] == passed_over;
+        node.log().iter().any(of)
+    };
+    let mut number = 0;
+    until("it is passed over", async || {
+        number += 1;
+        node.send(request(&format!("f{number}"), "POST", "/book/", "x")).await;
+        told(true)
+    })
+    .await;
+    world.of("plain").for_each(|server| server.set_mood(Mood::Sound));
+    until("it is back", async || {
+        number += 1;
+        node.send(request(&format!("f{number}"), "POST", "/book/", "x")).await;
+        told(false)
+    })
+    .await;
+}
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -262,6 +262,11 @@
         addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect()
     }
 
+    /// Whether its metrics can be read.
+    pub async fn metrics_answer(&self) -> bool {
+        http::send(self.metrics, request("0", "GET", "/metrics", "")).await.is_ok()
+    }
+
     /// Its metrics as text.
     pub async fn metrics(&self) -> String {
         let scrape = http::send(self.metrics, request("0", "GET", "/metrics", ""));
--- a/crates/process/node/tests/slow_reader.rs
+++ b/crates/process/node/tests/slow_reader.rs
@@ -44,7 +44,7 @@
     let (release, blocked) = channel();
     let text = Arc::new(Mutex::new(String::new()));
     let out = Blocked { release: blocked, released: false, text: Arc::clone(&text) };
-    let _log = journal::start(Box::new(out)).expect("the log starts");
+    let _log = journal::start(Box::new(out), log::LevelFilter::Info).expect("the log starts");
     let begin = Instant::now();
     for number in 0..LINES {
         log::info!(target: "request", number; "an event");
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -44,6 +44,28 @@
     Unknown,
 }
 
+/// Why a server is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It is the first of its service.
+    First,
+    /// The last attempt ended without an answer.
+    Retry,
+    /// The last attempt takes long.
+    Hedge,
+}
+
+impl Turn {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
 /// Something to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action<R> {
@@ -53,11 +75,15 @@
         attempt: Attempt,
         /// The service.
         service: Service,
-        /// Its server.
-        server: Server,
+        /// Its server, and what is expected of it.
+        choice: Choice,
+        /// Why it is asked.
+        turn: Turn,
         /// Whether it is beyond the first to this service, and was paid for from
         /// the budget.
         extra: bool,
+        /// The part of the budget of extra sends that is spent.
+        spent: f64,
     },
     /// Deliver [`Event::Timer`] at this time; replaces the time asked for before.
     Wake(Time),
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -13,6 +13,7 @@
 use crate::event::End;
 use crate::event::Event;
 use crate::event::Final;
+use crate::event::Turn;
 use crate::event::Word;
 use crate::plan::Plan;
 use crate::plan::REFUSED_PAUSE;
@@ -24,15 +25,6 @@
 use base::time::Time;
 use replica::table::Choice;
 
-/// Why a further server is asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Turn {
-    /// The last attempt ended without an answer.
-    Retry,
-    /// The last attempt takes long.
-    Hedge,
-}
-
 /// The part of the budget that hedges may spend: the rest is for requests that
 /// a server refused or failed.
 const HEDGE_PART: f64 = 0.75;
@@ -114,7 +106,7 @@
             match choice {
                 Some((_, choice)) if !hopeless => {
                     advice.first(now, self.plan.parts[at]);
-                    self.send(now, at, choice, false, advice, actions);
+                    self.send(now, at, choice, Turn::First, false, advice, actions);
                 }
                 _ => self.lose(at),
             }
@@ -146,7 +138,7 @@
         if extra && !self.afford(now, at, turn, advice) {
             return self.defer(now, at, turn, Cause::Budget);
         }
-        self.send(now, at, choice, extra, advice, actions);
+        self.send(now, at, choice, turn, extra, advice, actions);
     }
 
     fn send(
@@ -154,6 +146,7 @@
         now: Time,
         at: usize,
         choice: Choice,
+        turn: Turn,
         extra: bool,
         advice: &mut dyn Advice,
         actions: &mut Vec<Action<R>>,
@@ -164,12 +157,12 @@
         slot.sends += 1;
         slot.live += 1;
         slot.ran += 1;
+        let spent = advice.spent(now, service);
         if self.plan.idempotent {
-            let spent = advice.spent(now, service);
             slot.alarm = self.plan.hedge(now, choice.expected, spent);
         }
         let attempt = self.tries.push(Try { slot: at, extra, live: true });
-        actions.push(Action::Send { attempt, service, server: choice.server, extra });
+        actions.push(Action::Send { attempt, service, choice, turn, extra, spent });
     }
 
     /// Takes an extra send from the budget; hedges leave the last part of it to
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -365,8 +365,8 @@
         entry.machine.handle(now, event, &mut desk, &mut actions);
         for action in actions {
             match action {
-                Action::Send { attempt, server, extra, .. } => {
-                    self.send(now, request, attempt, server, extra);
+                Action::Send { attempt, choice, extra, .. } => {
+                    self.send(now, request, attempt, choice.server, extra);
                 }
                 Action::Wake(at) => {
                     self.requests[request].wake = at;
--- a/crates/version/replica/src/budget.rs
+++ b/crates/version/replica/src/budget.rs
@@ -99,9 +99,9 @@
         self.settings = settings;
     }
 
-    /// Shares the slack among `nodes` nodes from now on.
-    pub fn share(&mut self, nodes: u32) {
-        self.nodes = nodes.max(1);
+    /// Shares the slack among `nodes` nodes from now on; gives how many it were.
+    pub fn share(&mut self, nodes: u32) -> u32 {
+        std::mem::replace(&mut self.nodes, nodes.max(1))
     }
 
     fn part(&self, now: Time) -> u64 {
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -76,8 +76,10 @@
     slowness: f64,
     faults: f64,
     seen: Time,
-    failures: u32,
-    pub(crate) paused_until: Time,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Until when it is paused after failures.
+    pub paused_until: Time,
 }
 
 impl Record {
@@ -120,6 +122,16 @@
         own + f64::from(others) * (1.0 - age).max(0.0)
     }
 
+    /// How old the load is that the server told.
+    pub fn load_age(&self, now: Time) -> Option<Duration> {
+        self.load.map(|(at, _)| now.since(at))
+    }
+
+    /// Whether it is passed over while others of its service are left.
+    pub fn is_passed_over(&self) -> bool {
+        self.failures >= FAILURES_TO_PAUSE
+    }
+
     /// How many times longer than usual a request takes there.
     pub fn slowness(&self, now: Time) -> f64 {
         let halves = now.since(self.seen).as_secs_f64() / FORGET_HALF.as_secs_f64();
