--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -4,7 +4,8 @@
 //! there: the way, the usual time of the route's requests times the server's own
 //! slowness, longer if more requests are there than it runs at once, and longer
 //! by what it has been silent: a silence is expected to go on for as long as it
-//! has lasted. The cheapest server is chosen.
+//! has lasted. A far server costs more than its time, since the bytes there do.
+//! The cheapest server is chosen.
 //!
 //! Invariants: a server that is leaving is never chosen. A reference keeps its
 //! meaning for the life of the process; another life gets another one.
@@ -58,6 +59,11 @@
     (Distance::Region, Duration::from_micros(3000)),
     (Distance::Far, Duration::from_micros(17000)),
 ];
+/// What a request costs at a server by distance besides its time, in multiples of
+/// the usual time: the price of bytes between data centres is a quarter of that
+/// between regions, and a wait of this length still leaves an answer in time.
+const DETOUR: [(Distance, f64); 3] =
+    [(Distance::DataCentre, 0.0), (Distance::Region, 0.75), (Distance::Far, 3.0)];
 /// Silences shorter than this multiple of the expected time are ordinary.
 const ORDINARY_SILENCE: f64 = 2.0;
 /// The shortest silence that counts: a pause of the node itself lasts as long.
@@ -262,7 +268,8 @@
         let record = &self.servers[server];
         let expected = self.expected(now, server, work);
         let fault = FAULT_FACTOR + FAULT_FACTOR_SPENT * spent * spent;
-        let mut cost = expected + work.mul_f64(fault * record.faults(now));
+        let detour = by_distance(&DETOUR, record.distance);
+        let mut cost = expected + work.mul_f64(fault * record.faults(now) + detour);
         let silence = record.silence(now);
         if silence > expected.mul_f64(ORDINARY_SILENCE).max(LEAST_SILENCE) {
             cost += silence;
@@ -354,6 +361,10 @@
 }
 
 fn way(distance: Distance) -> Duration {
-    let found = WAY.iter().find(|(known, _)| *known == distance);
-    found.map_or(Duration::ZERO, |(_, way)| *way)
+    by_distance(&WAY, distance)
+}
+
+fn by_distance<T: Copy + Default>(values: &[(Distance, T)], distance: Distance) -> T {
+    let found = values.iter().find(|(known, _)| *known == distance);
+    found.map_or_else(T::default, |(_, value)| *value)
 }
