--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod shard;
 pub mod store;
 pub mod upstream;
+pub mod wait;
--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -20,58 +20,17 @@
 use crate::process::Process;
 use crate::process::Seen;
 use crate::trace::Trace;
-use base::entity::Server;
-use base::entity::Service;
-use base::time::Time;
+use gather::desk::Desk;
 use gather::event::Action;
-use gather::event::Advice;
 use gather::event::End;
 use gather::event::Event;
 use gather::event::Final;
 use gather::machine::Machine;
-use replica::budget::Budget;
-use replica::table::Choice;
-use replica::table::Table;
 
 /// How long an attempt that is no longer needed may go on: a pause of a server
 /// passes meanwhile, and its connection is kept.
 const LINGER: Duration = Duration::from_millis(300);
 
-/// The table and the budget as advice.
-struct Desk<'a> {
-    table: &'a mut Table,
-    budget: &'a mut Budget,
-}
-
-impl Advice for Desk<'_> {
-    fn choose(
-        &mut self,
-        now: Time,
-        service: Service,
-        work: Duration,
-        tried: &[Server],
-    ) -> Option<Choice> {
-        let spent = self.budget.spent(now, service);
-        self.table.choose(now, service, work, spent, tried)
-    }
-
-    fn first(&mut self, now: Time, service: Service) {
-        self.budget.first(now, service);
-    }
-
-    fn spent(&mut self, now: Time, service: Service) -> f64 {
-        self.budget.spent(now, service)
-    }
-
-    fn extra(&mut self, now: Time, service: Service) -> bool {
-        self.budget.extra(now, service)
-    }
-
-    fn give_back(&mut self, now: Time, service: Service) {
-        self.budget.give_back(now, service);
-    }
-}
-
 type Attempts = FuturesUnordered<Pin<Box<dyn Future<Output = Done>>>>;
 
 /// Runs a request to its last word.
--- a/crates/process/node/tests/causes_in_log.rs
+++ b/crates/process/node/tests/causes_in_log.rs
@@ -7,8 +7,8 @@
 use crate::deployed::Node;
 use crate::deployed::World;
 use crate::deployed::request;
-use crate::deployed::until;
 use fakes::shard::Mood;
+use fakes::wait::until;
 
 /// The lines that name a request, once its outcome is told.
 async fn lines(node: &Node, id: &str) -> Vec<Value> {
--- a/crates/process/node/tests/change_spread.rs
+++ b/crates/process/node/tests/change_spread.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::Fleet;
 use fakes::platform::Fault;
+use fakes::wait::until;
 
 mod fleet;
 
@@ -33,7 +34,7 @@
     // A node that starts on stale reads must not take the others back.
     let lists = fleet.platform.stats().lists;
     fleet.add();
-    fleet::until("stale reads", async || fleet.platform.stats().lists >= lists + 4).await;
+    until("stale reads", async || fleet.platform.stats().lists >= lists + 4).await;
     fleet.settle().await;
     fleet.in_force(second).await;
     for node in &fleet.nodes {
@@ -50,8 +51,8 @@
     sleeper.signal("STOP");
     let deleted = fleet.delete("policy", "extra", created).await;
     for node in &fleet.nodes[..5] {
-        fleet::until("the delete", async || node.revision().await >= deleted).await;
-        fleet::until("unnamed", async || !node.names(sleeper.caller).await).await;
+        until("the delete", async || node.revision().await >= deleted).await;
+        until("unnamed", async || !node.names(sleeper.caller).await).await;
     }
     sleeper.signal("CONT");
     fleet.in_force(deleted).await;
--- a/crates/process/node/tests/dark_shard.rs
+++ b/crates/process/node/tests/dark_shard.rs
@@ -13,7 +13,7 @@
 use crate::deployed::World;
 use crate::deployed::header;
 use crate::deployed::request;
-use crate::deployed::until;
+use fakes::wait::until;
 
 mod deployed;
 
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -12,7 +12,6 @@
 use std::process::Stdio;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -26,11 +25,9 @@
 use fakes::http;
 use fakes::shard::Shard;
 use fakes::store::Store;
+use fakes::wait::limited;
+use fakes::wait::until;
 
-/// After this a test hangs.
-const STUCK: Duration = Duration::from_secs(40);
-/// The pause between two looks at a condition.
-const LOOK: Duration = Duration::from_millis(20);
 /// The host of all routes.
 pub const HOST: &str = "desk.example";
 /// How long callers wait; long, since the machine may be busy.
@@ -211,24 +208,6 @@
         .expect("a request")
 }
 
-/// Ends `future` with a panic if it hangs.
-pub async fn limited<T>(what: &str, future: impl Future<Output = T>) -> T {
-    match tokio::time::timeout(STUCK, future).await {
-        Ok(value) => value,
-        Err(_) => panic!("this hangs: {what}"),
-    }
-}
-
-/// Waits until `done`.
-pub async fn until(what: &str, mut done: impl AsyncFnMut() -> bool) {
-    limited(what, async {
-        while !done().await {
-            tokio::time::sleep(LOOK).await;
-        }
-    })
-    .await;
-}
-
 /// A header of a response as text; empty if it is absent.
 pub fn header<'a>(response: &'a Response<Bytes>, name: &str) -> &'a str {
     response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
--- a/crates/process/node/tests/deployed_path.rs
+++ b/crates/process/node/tests/deployed_path.rs
@@ -11,10 +11,10 @@
 use crate::deployed::header;
 use crate::deployed::record;
 use crate::deployed::request;
-use crate::deployed::until;
 use fakes::shard;
 use fakes::shard::Mood;
 use fakes::store;
+use fakes::wait::until;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn search_merges_the_greatest_records() {
--- a/crates/process/node/tests/deployed_stop.rs
+++ b/crates/process/node/tests/deployed_stop.rs
@@ -6,8 +6,8 @@
 
 use crate::deployed::World;
 use crate::deployed::request;
-use crate::deployed::until;
 use fakes::shard::Mood;
+use fakes::wait::until;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_name_each_other() {
--- a/crates/process/node/tests/fleet/mod.rs
+++ b/crates/process/node/tests/fleet/mod.rs
@@ -11,13 +11,10 @@
 pub mod load;
 pub mod node;
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
-use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -28,11 +25,8 @@
 use fakes::platform::Outage;
 use fakes::platform::Platform;
 use fakes::upstream;
+use fakes::wait::until;
 
-/// How long a wait may take before it counts as a hang.
-const HANG: Duration = Duration::from_secs(60);
-/// The time between two looks.
-const LOOK: Duration = Duration::from_millis(50);
 /// The lifetime of a lookup, in milliseconds.
 pub const KEEP_MS: u64 = 300;
 /// The data centres, taken by the nodes in turn.
@@ -167,20 +161,3 @@
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
-
-/// Waits until `holds`; a wait without end is a fault.
-pub async fn until(what: &str, holds: impl AsyncFn() -> bool) {
-    let start = Instant::now();
-    while !holds().await {
-        assert!(start.elapsed() < HANG, "still waiting: {what}");
-        tokio::time::sleep(LOOK).await;
-    }
-}
-
-/// Ends `work` if it hangs.
-pub async fn bounded<T>(what: &str, work: impl Future<Output = T>) -> T {
-    match tokio::time::timeout(HANG, work).await {
-        Ok(done) => done,
-        Err(_) => panic!("still waiting: {what}"),
-    }
-}
--- a/crates/process/node/tests/fleet/node.rs
+++ b/crates/process/node/tests/fleet/node.rs
@@ -18,7 +18,7 @@
 
 use crate::fleet::KEEP_MS;
 use crate::fleet::calls::call;
-use crate::fleet::until;
+use fakes::wait::until;
 use rpc::proto::operator_client::OperatorClient;
 
 /// What a node prints once it has started.
--- a/crates/process/node/tests/last_word.rs
+++ b/crates/process/node/tests/last_word.rs
@@ -9,9 +9,9 @@
 use support::claim;
 use support::query;
 use support::service;
-use support::until;
 
 use fakes::upstream::Action;
+use fakes::wait::until;
 use wire::caller::Cause;
 use wire::caller::Outcome;
 
--- a/crates/process/node/tests/leaving_server.rs
+++ b/crates/process/node/tests/leaving_server.rs
@@ -8,9 +8,9 @@
 use support::World;
 use support::query;
 use support::service;
-use support::until;
 
 use fakes::upstream::Action;
+use fakes::wait::until;
 use wire::platform::Life;
 use wire::platform::Vm;
 use wire::platform::Vms;
--- a/crates/process/node/tests/operator_race.rs
+++ b/crates/process/node/tests/operator_race.rs
@@ -10,6 +10,7 @@
 use crate::fleet::node::Node;
 use fakes::platform::Fault;
 use fakes::platform::Late;
+use fakes::wait::until;
 use rpc::failure::Failure;
 use rpc::proto;
 
@@ -80,7 +81,7 @@
         },
     }
     // However it was told, the write takes effect once, and goes in force.
-    fleet::until("the effect", async || stored(&fleet).await.0 == 41).await;
+    until("the effect", async || stored(&fleet).await.0 == 41).await;
     fleet.heal();
     let (_, revision) = stored(&fleet).await;
     fleet.in_force(revision).await;
@@ -118,7 +119,7 @@
     });
     let writes = || fleet.platform.stats().writes;
     let before = writes();
-    fleet::until("the late write", async || writes() > before || first.is_finished()).await;
+    until("the late write", async || writes() > before || first.is_finished()).await;
     // Another operator changes the object before the late write takes effect.
     let other = update(&fleet.nodes[1], "other", revision, 42).await;
     let told = first.await.expect("a verdict");
--- a/crates/process/node/tests/planned_stop.rs
+++ b/crates/process/node/tests/planned_stop.rs
@@ -17,6 +17,8 @@
 use fakes::platform::Outage;
 use fakes::upstream::Action;
 use fakes::upstream::Fault;
+use fakes::wait::limited;
+use fakes::wait::until;
 
 mod fleet;
 
@@ -45,7 +47,7 @@
 /// Waits until the load has had so many answers more.
 async fn answers(load: &Load, more: u64) {
     let wanted = load.whole() + more;
-    fleet::until("answers under load", async || load.whole() >= wanted).await;
+    until("answers under load", async || load.whole() >= wanted).await;
 }
 
 fn nothing_harmed(tally: &Tally) {
@@ -81,7 +83,7 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
         leaving.signal("TERM");
     };
-    let sending = fleet::bounded("the caller is told", async { while !send(&mut busy).await {} });
+    let sending = limited("the caller is told", async { while !send(&mut busy).await {} });
     let (slow, (), ()) = tokio::join!(slow, stopping, sending);
     for answer in slow {
         let (status, answer) = answer.expect("not cut off");
@@ -102,7 +104,7 @@
     let asking = async {
         tokio::time::sleep(Duration::from_millis(300)).await;
         leaving.signal("TERM");
-        fleet::until("it no longer names itself", async || {
+        until("it no longer names itself", async || {
             let named = leaving.named().await;
             !named.is_empty() && !named.contains(&leaving.caller.to_string())
         })
--- a/crates/process/node/tests/silent_servers.rs
+++ b/crates/process/node/tests/silent_servers.rs
@@ -5,9 +5,9 @@
 use support::World;
 use support::query;
 use support::service;
-use support::until;
 
 use fakes::upstream::Action;
+use fakes::wait::until;
 use wire::caller::Query;
 
 /// A query whose deadline is later than the limit that ends a hang, so that only
--- a/crates/process/node/tests/support/mod.rs
+++ b/crates/process/node/tests/support/mod.rs
@@ -15,7 +15,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -38,6 +37,8 @@
 use fakes::upstream::Service;
 use fakes::upstream::Settings;
 use fakes::upstream::Stats;
+use fakes::wait::limited;
+use fakes::wait::until;
 use wire::caller;
 use wire::caller::Answer;
 use wire::caller::Entries;
@@ -48,10 +49,6 @@
 use wire::platform::VMS_PATH;
 use wire::platform::Vms;
 
-/// After this a test hangs.
-pub const STUCK: Duration = Duration::from_secs(40);
-/// The pause between two looks at a condition.
-const LOOK: Duration = Duration::from_millis(20);
 /// The deadline of a query; long, since the machine may be busy.
 pub const DEADLINE_MS: u32 = 8000;
 
@@ -93,24 +90,6 @@
     Service { connections: 48, data_centres: vec![Arc::from("a")], ..Service::default() }
 }
 
-/// Ends `future` with a panic if it hangs.
-pub async fn limited<T>(what: &str, future: impl Future<Output = T>) -> T {
-    match tokio::time::timeout(STUCK, future).await {
-        Ok(value) => value,
-        Err(_) => panic!("this hangs: {what}"),
-    }
-}
-
-/// Waits until `done`.
-pub async fn until(what: &str, mut done: impl AsyncFnMut() -> bool) {
-    limited(what, async {
-        while !done().await {
-            tokio::time::sleep(LOOK).await;
-        }
-    })
-    .await;
-}
-
 /// A query for all shards.
 pub fn query(number: u64) -> Query {
     Query {
--- a/crates/process/node/tests/true_coverage.rs
+++ b/crates/process/node/tests/true_coverage.rs
@@ -6,9 +6,9 @@
 use support::World;
 use support::query;
 use support::service;
-use support::until;
 
 use fakes::upstream::Action;
+use fakes::wait::until;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn any_node_answers_whole_without_a_server() {
--- a/crates/process/node/tests/version_roll.rs
+++ b/crates/process/node/tests/version_roll.rs
@@ -11,11 +11,11 @@
 use support::World;
 use support::query;
 use support::service;
-use support::until;
 
 use conf::object::Group;
 use fakes::caller::violations;
 use fakes::upstream::Action;
+use fakes::wait::until;
 use wire::id::Snapshot;
 use wire::upstream::Holding;
 
--- a/crates/request/gather/src/lib.rs
+++ b/crates/request/gather/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![deny(missing_docs)]
 
+pub mod desk;
 pub mod event;
 pub mod machine;
 pub mod merge;
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -18,8 +18,8 @@
 use base::entity::Server;
 use base::entity::Service;
 use base::time::Time;
+use gather::desk::Desk;
 use gather::event::Action;
-use gather::event::Advice;
 use gather::event::End;
 use gather::event::Event;
 use gather::event::Final;
@@ -31,7 +31,6 @@
 use replica::pace::Pace;
 use replica::record::Load;
 use replica::table;
-use replica::table::Choice;
 use replica::table::Place;
 use replica::table::Table;
 use site::fleet::Change;
@@ -186,39 +185,6 @@
     done: bool,
 }
 
-struct Desk<'a> {
-    node: &'a mut Node,
-}
-
-impl Advice for Desk<'_> {
-    fn choose(
-        &mut self,
-        now: Time,
-        service: Service,
-        work: Duration,
-        tried: &[Server],
-    ) -> Option<Choice> {
-        let spent = self.node.budget.spent(now, service);
-        self.node.table.choose(now, service, work, spent, tried)
-    }
-
-    fn first(&mut self, now: Time, service: Service) {
-        self.node.budget.first(now, service);
-    }
-
-    fn spent(&mut self, now: Time, service: Service) -> f64 {
-        self.node.budget.spent(now, service)
-    }
-
-    fn extra(&mut self, now: Time, service: Service) -> bool {
-        self.node.budget.extra(now, service)
-    }
-
-    fn give_back(&mut self, now: Time, service: Service) {
-        self.node.budget.give_back(now, service);
-    }
-}
-
 struct Sim {
     scene: Scene,
     rng: ChaCha8Rng,
@@ -361,7 +327,8 @@
     fn handle(&mut self, now: Time, request: usize, event: Event<()>) {
         let mut actions = Vec::new();
         let entry = &mut self.requests[request];
-        let mut desk = Desk { node: &mut self.nodes[entry.node] };
+        let node = &mut self.nodes[entry.node];
+        let mut desk = Desk { table: &mut node.table, budget: &mut node.budget };
         entry.machine.handle(now, event, &mut desk, &mut actions);
         for action in actions {
             match action {
