--- a/crates/process/node/src/journal.rs
+++ b/crates/process/node/src/journal.rs
@@ -2,15 +2,17 @@
 //!
 //! Invariant: logging never waits. Lines go through a bounded queue to a thread
 //! that writes them; each part of the program has a bounded rate. What is left
-//! out is counted, and the count is told.
+//! out is counted, and the count is told. Only a flush waits, and not for long.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::io::Write;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
+use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -36,6 +38,17 @@
 /// Lines of one part at once.
 const BURST: f64 = 400.0;
 
+/// How long a flush waits for the writer: an exit is not held up by a reader
+/// that has gone.
+const FLUSH_LIMIT: Duration = Duration::from_millis(100);
+
+/// What the writer is handed.
+enum Entry {
+    Line(String),
+    /// All lines before it are to be written; then this is answered.
+    Flush(SyncSender<()>),
+}
+
 /// Starts the log of what is at least as grave as `level`; it goes on while the
 /// handle lives.
 pub fn start(
@@ -50,20 +63,31 @@
     let writer = Journal { queue, parts: Mutex::default(), left_out: AtomicU64::new(0) };
     let mut spec = LogSpecification::builder();
     spec.default(level).module("hyper", LevelFilter::Off);
+    spec.module("opentelemetry", LevelFilter::Warn.min(level));
+    spec.module("opentelemetry_sdk", LevelFilter::Warn.min(level));
     Logger::with(spec.build()).log_to_writer(Box::new(writer)).start()
 }
 
 /// Writes lines until the queue is closed.
-fn write(lines: Receiver<String>, mut out: Box<dyn Write + Send>) {
-    while let Ok(line) = lines.recv() {
-        let mut text = line;
-        while let Ok(more) = lines.try_recv() {
-            text.push_str(&more);
+fn write(entries: Receiver<Entry>, mut out: Box<dyn Write + Send>) {
+    while let Ok(entry) = entries.recv() {
+        let mut text = String::new();
+        let mut flushed = Vec::new();
+        let more = std::iter::from_fn(|| entries.try_recv().ok());
+        for entry in std::iter::once(entry).chain(more) {
+            match entry {
+                Entry::Line(line) => text.push_str(&line),
+                Entry::Flush(answer) => flushed.push(answer),
+            }
         }
         // Without a reader there is nobody to tell.
         if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
             return;
         }
+        for answer in flushed {
+            // Whoever waited may have given up.
+            let _ = answer.try_send(());
+        }
     }
 }
 
@@ -75,7 +99,7 @@
 }
 
 struct Journal {
-    queue: SyncSender<String>,
+    queue: SyncSender<Entry>,
     parts: Mutex<HashMap<String, Allowance>>,
     left_out: AtomicU64,
 }
@@ -100,7 +124,7 @@
     }
 
     fn send(&self, line: String) {
-        if self.queue.try_send(line).is_err() {
+        if self.queue.try_send(Entry::Line(line)).is_err() {
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -124,7 +148,15 @@
     }
 
     fn flush(&self) -> std::io::Result<()> {
-        Ok(())
+        let (answer, flushed) = sync_channel(1);
+        let failed = |why: &str| Err(std::io::Error::new(ErrorKind::TimedOut, why));
+        if self.queue.try_send(Entry::Flush(answer)).is_err() {
+            return failed("the log's queue is full or its writer has ended");
+        }
+        match flushed.recv_timeout(FLUSH_LIMIT) {
+            Ok(()) => Ok(()),
+            Err(_) => failed("the log's reader is slow"),
+        }
     }
 }
 
--- a/crates/process/node/src/main.rs
+++ b/crates/process/node/src/main.rs
@@ -100,7 +100,7 @@
             return ExitCode::from(FAULTS);
         }
     };
-    let _log = match journal::start(Box::new(std::io::stdout()), level) {
+    let log = match journal::start(Box::new(std::io::stdout()), level) {
         Ok(log) => log,
         Err(error) => {
             eprintln!("heatherseam: the log can't be started: {error}");
@@ -119,7 +119,9 @@
     let again = PathBuf::from(path);
     let reload = move || platform::settings::load(&again).map_err(|report| report.to_string());
     let running = entry::run::run(settings, Box::new(Headers), source, Box::new(reload));
-    match tokio::task::LocalSet::new().block_on(&runtime, running) {
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, running);
+    log.flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("heatherseam: {error}");
--- a/crates/process/node/tests/deployed_stop.rs
+++ b/crates/process/node/tests/deployed_stop.rs
@@ -44,6 +44,8 @@
     let response = slow.await.expect("it ran").expect("a response");
     assert_eq!(response.status(), 200);
     assert!(stopping.ended().await);
+    let last = stopping.log().pop().expect("a line");
+    assert_eq!((&last["event"], &last["in_time"]), (&"Stopped.".into(), &true.into()));
 }
 
 #[tokio::test(flavor = "multi_thread")]
