--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -252,7 +252,7 @@
     }
 
     /// The time that a request of the usual length `work` is expected to take.
-    pub fn expected(&self, now: Time, server: Server, work: Duration) -> Duration {
+    fn expected(&self, now: Time, server: Server, work: Duration) -> Duration {
         let record = &self.servers[server];
         let cold = if now < record.cold_until { COLD_FACTOR } else { 1.0 };
         let slots = f64::from(record.slots.max(1));
@@ -264,9 +264,16 @@
         way(record.distance) + work.mul_f64(factor)
     }
 
-    fn cost(&self, now: Time, server: Server, work: Duration, spent: f64) -> Duration {
+    /// What a request costs at a server, where it is expected to take `expected`.
+    fn cost(
+        &self,
+        now: Time,
+        server: Server,
+        expected: Duration,
+        work: Duration,
+        spent: f64,
+    ) -> Duration {
         let record = &self.servers[server];
-        let expected = self.expected(now, server, work);
         let fault = FAULT_FACTOR + FAULT_FACTOR_SPENT * spent * spent;
         let detour = by_distance(&DETOUR, record.distance);
         let mut cost = expected + work.mul_f64(fault * record.faults(now) + detour);
@@ -294,25 +301,24 @@
         spent: f64,
         tried: &[Server],
     ) -> Option<Choice> {
-        let mut best: Option<(Duration, Server)> = None;
+        let mut best: Option<(Duration, Server, Duration)> = None;
         for at in 0..self.members[service].len() {
             let server = self.members[service][at];
             if tried.contains(&server) {
                 continue;
             }
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
-            let cost = self.cost(now, server, work, spent.clamp(0.0, 1.0)).mul_f64(jitter);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, server));
+            let expected = self.expected(now, server, work);
+            let cost = self.cost(now, server, expected, work, spent.clamp(0.0, 1.0));
+            let cost = cost.mul_f64(jitter);
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, server, expected));
             }
         }
-        best.map(|(_, server)| self.choice(now, server, work))
-    }
-
-    fn choice(&self, now: Time, server: Server, work: Duration) -> Choice {
+        let (_, server, expected) = best?;
         let record = &self.servers[server];
         let busy = record.believed(now) >= f64::from(record.slots);
-        Choice { server, expected: self.expected(now, server, work), busy }
+        Some(Choice { server, expected, busy })
     }
 
     /// Whether a server may still get work.
