entry: a body that does not come is not waited for

A caller that announced a body and sent only a part of it was waited for without end. Its request is now told 408, not run, when its deadline or the route's time limit is over. slow_caller hangs before, passes after.

--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -20,6 +20,7 @@
 use hyper::http::HeaderName;
 use hyper::http::HeaderValue;
 use hyper::http::request::Parts;
+use tokio::time::timeout;
 
 use crate::drive;
 use crate::exchange::Message;
@@ -71,16 +72,16 @@
     let arrived = process.clock.now();
     let _busy = Busy::new(&process);
     let ask = process.protocol.ask(request.headers());
+    let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
     let snapshot = process.snapshot.borrow().clone();
     let read = match snapshot {
-        Some(snapshot) => read(&snapshot, &ask, request).await,
+        Some(snapshot) => read(&snapshot, &ask, patience, request).await,
         None => Err(Unread::NoConfig),
     };
     let Read { snapshot, route, id, parts, body } = match read {
         Ok(read) => read,
         Err(unread) => return unread.answer(&process, ask.id.as_ref()),
     };
-    let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
     let deadline = arrived + patience;
     let mut headers = parts.headers;
     strip(&mut headers);
@@ -119,6 +120,8 @@
     LongBody,
     #[error("its body broke off")]
     CutBody,
+    #[error("its body did not come in time")]
+    SlowBody,
 }
 
 impl Unread {
@@ -129,6 +132,7 @@
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::NoId | Self::CutBody => (StatusCode::BAD_REQUEST, None),
             Self::LongBody => (StatusCode::PAYLOAD_TOO_LARGE, None),
+            Self::SlowBody => (StatusCode::REQUEST_TIMEOUT, None),
         };
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let known = process.snapshot.borrow().as_ref().map(|snapshot| snapshot.version);
@@ -141,17 +145,22 @@
 async fn read(
     snapshot: &Rc<Snapshot>,
     ask: &Ask,
+    patience: Duration,
     request: Request<Incoming>,
 ) -> Result<Read, Unread> {
     let route = route(snapshot, &request).ok_or(Unread::NoRoute)?;
     let id = ask.id.clone().ok_or(Unread::NoId)?;
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, snapshot.limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+    // After this time there is nobody left to answer.
+    let limit = route.timeout.min(patience);
+    let collecting = Limited::new(body, snapshot.limits.body_bytes).collect();
+    let body = match timeout(limit, collecting).await {
+        Err(_) => return Err(Unread::SlowBody),
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             return Err(Unread::LongBody);
         }
-        Err(_) => return Err(Unread::CutBody),
+        Ok(Err(_)) => return Err(Unread::CutBody),
     };
     Ok(Read { snapshot: Rc::clone(snapshot), route, id, parts, body })
 }
