peer: a doubt counts before freshness is told; comments

Between a refuted suspicion and the next look at the clock (0.1 s) the loop that tells freshness could bring the old state back. Found by reading.

--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -150,6 +150,8 @@
                 link.task.abort();
                 door.borrow_mut().free(id);
             }
+            // A connection with a request may become free; one that is being opened
+            // will most likely fail as the last one did.
             let busy = door.borrow().count(lane::Place::Busy);
             if place.reach.failed.get() && busy == 0 {
                 self.try_open(place, 1);
--- a/crates/process/peer/src/fresh.rs
+++ b/crates/process/peer/src/fresh.rs
@@ -69,14 +69,15 @@
         self.doubted = false;
     }
 
-    /// The node may have missed what was new for a moment: it compares with one
-    /// peer that was not passed over, or with another that may have been.
+    /// The node may have missed what was new lately. It is fresh again once it has
+    /// compared with one peer that has been fresh, or the platform has answered.
     pub fn doubt(&mut self) {
         self.doubted = true;
         self.peers.clear();
     }
 
-    /// Whether the node has been fresh, and at most missed what was new lately.
+    /// Whether the node has been fresh since it started or last woke; it may have
+    /// missed what was new lately.
     pub fn has_been(&self) -> bool {
         self.done
     }
--- a/crates/process/peer/src/loops.rs
+++ b/crates/process/peer/src/loops.rs
@@ -303,6 +303,8 @@
 
 /// Tells peers whether this node is fresh, once that has changed.
 pub(crate) fn show_fresh(core: &Core) {
+    // A doubt that has come up since counts first.
+    core.look();
     let fresh = core.fresh.lock().is_fresh(core.now());
     let applied = core.host.catalog().revision();
     let mut table = core.table.lock();
