--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod lookup;
 mod metrics;
 mod process;
+mod read;
 mod serve;
 mod trace;
 pub mod upstream;
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -1,16 +1,13 @@
-//! Answers callers' requests: finds the route, runs the request, tells what came
-//! of it.
+//! Answers callers' requests: plans and runs each one that was read, and tells
+//! what came of it.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -19,15 +16,15 @@
 use hyper::header;
 use hyper::http::HeaderName;
 use hyper::http::HeaderValue;
-use hyper::http::request::Parts;
-use tokio::time::timeout;
 
 use crate::drive;
 use crate::exchange::Message;
 use crate::exchange::Reply;
 use crate::process::Process;
 use crate::process::Seen;
-use crate::protocol::Ask;
+use crate::read;
+use crate::read::Read;
+use crate::read::Unread;
 use crate::trace::Trace;
 use base::time::Time;
 use gather::event::Cause;
@@ -44,9 +41,6 @@
 
 /// How long a caller is told to stay away when nothing more is known.
 const COME_BACK: Duration = Duration::from_millis(300);
-/// How long a caller is told to stay away from a node that knows no
-/// configuration yet.
-const COME_BACK_TO_START: Duration = Duration::from_millis(500);
 /// The way of a request from its caller, and of the answer back.
 const CALLER_WAY: Duration = Duration::from_millis(4);
 /// What is kept of the objective for the node's own work on an answer.
@@ -75,7 +69,7 @@
     let patience = ask.patience.unwrap_or(UNTOLD_PATIENCE);
     let snapshot = process.snapshot.borrow().clone();
     let read = match snapshot {
-        Some(snapshot) => read(&snapshot, &ask, patience, request).await,
+        Some(snapshot) => read::read(&snapshot, &ask, patience, request).await,
         None => Err(Unread::NoConfig),
     };
     let Read { snapshot, route, id, parts, body } = match read {
@@ -98,81 +92,6 @@
     answer(&process, &route, last)
 }
 
-/// A request that was read.
-struct Read {
-    snapshot: Rc<Snapshot>,
-    route: Arc<Route>,
-    id: HeaderValue,
-    parts: Parts,
-    body: Bytes,
-}
-
-/// Why a request was not read; it has not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-enum Unread {
-    #[error("no configuration is known yet")]
-    NoConfig,
-    #[error("no route matches its host and path")]
-    NoRoute,
-    #[error("it has no id")]
-    NoId,
-    #[error("its body is above the limit")]
-    LongBody,
-    #[error("its body broke off")]
-    CutBody,
-    #[error("its body did not come in time")]
-    SlowBody,
-}
-
-impl Unread {
-    /// What the caller is told; counts it, and tells the log.
-    fn answer(self, process: &Process, id: Option<&HeaderValue>) -> Answer {
-        let (status, come_back) = match self {
-            Self::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK_TO_START)),
-            Self::NoRoute => (StatusCode::NOT_FOUND, None),
-            Self::NoId | Self::CutBody => (StatusCode::BAD_REQUEST, None),
-            Self::LongBody => (StatusCode::PAYLOAD_TOO_LARGE, None),
-            Self::SlowBody => (StatusCode::REQUEST_TIMEOUT, None),
-        };
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
-        let known = process.snapshot.borrow().as_ref().map(|snapshot| snapshot.version);
-        process.metrics.turned_away(status.as_u16());
-        log::info!(target: "request", id, why:% = self, status = status.as_u16(), version = known; "not admitted");
-        refusal(status, come_back)
-    }
-}
-
-async fn read(
-    snapshot: &Rc<Snapshot>,
-    ask: &Ask,
-    patience: Duration,
-    request: Request<Incoming>,
-) -> Result<Read, Unread> {
-    let route = route(snapshot, &request).ok_or(Unread::NoRoute)?;
-    let id = ask.id.clone().ok_or(Unread::NoId)?;
-    let (parts, body) = request.into_parts();
-    // After this time there is nobody left to answer.
-    let limit = route.timeout.min(patience);
-    let collecting = Limited::new(body, snapshot.limits.body_bytes).collect();
-    let body = match timeout(limit, collecting).await {
-        Err(_) => return Err(Unread::SlowBody),
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Unread::LongBody);
-        }
-        Ok(Err(_)) => return Err(Unread::CutBody),
-    };
-    Ok(Read { snapshot: Rc::clone(snapshot), route, id, parts, body })
-}
-
-/// The route of a request.
-fn route(snapshot: &Snapshot, request: &Request<Incoming>) -> Option<Arc<Route>> {
-    let host = request.headers().get(header::HOST)?.to_str().ok()?;
-    let path = request.uri().path();
-    let bare = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    snapshot.route(host, path).or_else(|| snapshot.route(bare, path)).cloned()
-}
-
 /// The terms of a request that arrived at `arrived`.
 fn plan(
     process: &Process,
