--- a/crates/process/base/src/time.rs
+++ b/crates/process/base/src/time.rs
@@ -45,6 +45,14 @@
     }
 }
 
+impl Time {
+    /// The time `span` earlier; time zero if there is none.
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 impl Sub for Time {
     type Output = Duration;
 
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -193,6 +193,7 @@
     *request.uri_mut() = caller_request.uri.clone();
     *request.headers_mut() = headers;
     guard.sent = Some(now);
+    process.sends.set(process.sends.get() + 1);
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
--- a/crates/process/entry/src/heartbeat.rs
+++ b/crates/process/entry/src/heartbeat.rs
@@ -1,47 +1,103 @@
 //! Sends heartbeats to the other nodes and receives theirs, over UDP.
 
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::members::HEARTBEAT_INTERVAL;
 use crate::members::Heartbeat;
-use crate::members::Status;
 use crate::process::Process;
+use crate::watcher;
+use base::time::Time;
 
 /// The maximum size of a heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 1400;
 
-/// Sends heartbeats to all nodes at each interval, and once when shutdown starts.
+/// The weight of the last interval in the rate of sends.
+const RATE_WEIGHT: f64 = 0.2;
+
+/// Decides this node's role and sends heartbeats at each interval, and once when shutdown
+/// starts.
 pub(crate) async fn send(process: Rc<Process>, socket: Rc<UdpSocket>) {
     let mut number = 0;
+    let mut rate = Rate::default();
     loop {
-        let (addresses, interval) = {
-            let members = process.members.borrow();
-            (members.addresses().to_vec(), members.heartbeat_interval())
-        };
-        send_to(&process, &socket, &addresses, number).await;
+        let now = process.clock.now();
+        process.members.borrow_mut().tick(now);
+        rate.update(now, process.sends.get());
+        process.sends_per_second.set(rate.per_second as u32);
+        update_role(&process);
+        send_to_targets(&process, &socket, number).await;
         number += 1;
         tokio::select! {
-            () = sleep(interval) => {}
+            () = sleep(HEARTBEAT_INTERVAL) => {}
             () = process.shutdown_started.notified() => {}
         }
     }
 }
 
-/// Sends heartbeat `number` to `nodes`.
-async fn send_to(process: &Process, socket: &UdpSocket, nodes: &[IpAddr], number: usize) {
+/// The rate of a counter, averaged over some seconds.
+#[derive(Default)]
+struct Rate {
+    last: Option<(Time, u64)>,
+    per_second: f64,
+}
+
+impl Rate {
+    fn update(&mut self, now: Time, count: u64) {
+        let Some((at, before)) = self.last.replace((now, count)) else { return };
+        let seconds = now.since(at).as_secs_f64();
+        if seconds > 0.0 {
+            let rate = (count - before) as f64 / seconds;
+            self.per_second += (rate - self.per_second) * RATE_WEIGHT;
+        }
+    }
+}
+
+/// Decides whether this node serves, and applies its shares of the limits if they changed.
+fn update_role(process: &Process) {
+    // A node that is leaving keeps its shares for the requests that it still has.
+    if process.leaving.get() {
+        return;
+    }
+    let changed = {
+        let members = process.members.borrow();
+        process.role.borrow_mut().update(
+            process.clock.now(),
+            &members,
+            process.is_ready(),
+            process.sends_per_second.get(),
+        )
+    };
+    if changed {
+        let serving = process.role.borrow().is_serving();
+        log::info!(target: "members", serving; "This node's role changed.");
+    }
+    watcher::update_shares_if_changed(process);
+}
+
+/// Sends heartbeat `number`.
+async fn send_to_targets(process: &Process, socket: &UdpSocket, number: u64) {
     let settings = &process.settings;
-    let heartbeat = Heartbeat {
-        name: settings.name.clone(),
-        incarnation: process.incarnation,
-        caller_address: settings.caller_address,
-        data_centre: settings.data_centre.clone(),
-        ready: process.is_ready(),
-        leaving: process.leaving.get(),
-        known: process.members.borrow().addresses_to_send(number),
+    let (serving, leaving) = (process.role.borrow().is_serving(), process.leaving.get());
+    let (heartbeat, targets) = {
+        let members = process.members.borrow();
+        let heartbeat = Heartbeat {
+            name: settings.name.clone(),
+            incarnation: process.incarnation,
+            caller_address: settings.caller_address,
+            data_centre: settings.data_centre.clone(),
+            capacity: settings.capacity,
+            ready: process.is_ready(),
+            leaving,
+            serving,
+            registry_answers: process.registry_answers.get(),
+            sends_per_second: process.sends_per_second.get(),
+            known: members.known_to_send(number),
+        };
+        (heartbeat, members.targets(process.clock.now(), number, serving, leaving))
     };
     let bytes = match rmp_serde::to_vec(&heartbeat) {
         Ok(bytes) => bytes,
@@ -49,8 +105,8 @@
             return log::error!(target: "members", error:% = error; "A heartbeat can't be encoded.");
         }
     };
-    for ip in nodes {
-        let to = SocketAddr::new(*ip, settings.peer_port);
+    for ip in targets {
+        let to = SocketAddr::new(ip, settings.peer_port);
         if let Err(error) = socket.send_to(&bytes, to).await {
             log::debug!(target: "members", "A heartbeat to {to} was not sent: {error}.");
         }
@@ -85,8 +141,5 @@
         if before != after {
             log::info!(target: "members", node = name.as_ref(), before:? = before, now:? = after; "A node's status changed.");
         }
-        if before == Status::Silent {
-            crate::watcher::update_shares(&process);
-        }
     }
 }
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -8,13 +8,17 @@
 #![deny(missing_docs)]
 
 pub mod clock;
+pub mod feed;
 pub mod members;
+pub mod placement;
 pub mod protocol;
 pub mod registry;
 pub mod run;
+pub mod serving;
 pub mod settings;
+pub mod shares;
+pub mod source;
 
-mod bootstrap;
 mod drive;
 mod exchange;
 mod front;
@@ -24,6 +28,7 @@
 mod metrics;
 mod process;
 mod read;
+mod relay;
 mod serve;
 mod trace;
 pub mod upstream;
--- a/crates/process/entry/src/listener.rs
+++ b/crates/process/entry/src/listener.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners whose requests are answered from this node's own state.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,11 +21,11 @@
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Accepts connections and answers each request by `answer`.
-pub(crate) async fn accept(
-    process: Rc<Process>,
-    listener: TcpListener,
-    answer: fn(&Process, &Request<Incoming>) -> Answer,
-) {
+pub(crate) async fn accept<A, F>(process: Rc<Process>, listener: TcpListener, answer: A)
+where
+    A: Fn(Rc<Process>, Request<Incoming>) -> F + Copy + 'static,
+    F: Future<Output = Answer> + 'static,
+{
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -36,8 +37,8 @@
         };
         let process = Rc::clone(&process);
         let service = service_fn(move |request| {
-            let answer = answer(&process, &request);
-            async move { Ok::<_, Infallible>(answer) }
+            let answer = answer(Rc::clone(&process), request);
+            async move { Ok::<_, Infallible>(answer.await) }
         });
         spawn_local(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -1,8 +1,7 @@
 //! Answers lookups of nodes, readiness checks and scrapes of the metrics.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,11 +12,13 @@
 use hyper::header;
 use hyper::http::HeaderValue;
 
-use crate::members::Status;
+use crate::placement;
+use crate::placement::Candidate;
 use crate::process::Process;
 use crate::protocol::Lookup;
 use crate::serve;
 use crate::serve::Answer;
+use replica::table::Locality;
 
 const METRICS_PATH: &str = "/metrics";
 /// The maximum number of addresses in an answer.
@@ -27,7 +28,7 @@
 pub(crate) const MAX_LOOKUP_TTL: Duration = Duration::from_secs(2);
 
 /// Answers a lookup, a readiness check or a scrape.
-pub(crate) fn handle(process: &Process, request: &Request<Incoming>) -> Answer {
+pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
     if process.protocol.is_readiness(request.uri()) {
         let status =
             if process.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -39,7 +40,7 @@
     let Some(lookup) = process.protocol.lookup(request.uri()) else {
         return serve::empty_answer(StatusCode::NOT_FOUND, None);
     };
-    let addresses = ready_addresses(process, &lookup);
+    let addresses = best_addresses(&process, &lookup);
     if addresses.is_empty() {
         return serve::empty_answer(StatusCode::SERVICE_UNAVAILABLE, None);
     }
@@ -51,46 +52,41 @@
     answer
 }
 
-/// The addresses of the ready nodes nearest to the caller.
-fn ready_addresses(process: &Process, lookup: &Lookup) -> Vec<SocketAddr> {
-    let now = process.clock.now();
+/// The addresses of the serving nodes that suit the caller best; that of this node if no
+/// serving node is known.
+fn best_addresses(process: &Process, lookup: &Lookup) -> Vec<SocketAddr> {
+    let settings = &process.settings;
+    // A caller that does not say where it is counts as being here.
+    let data_centre = match &lookup.data_centre {
+        Some(data_centre) => data_centre.as_str().into(),
+        None => settings.data_centre.clone(),
+    };
+    let mut regions = settings.regions.clone();
+    if let Some(region) = &lookup.region {
+        regions.entry(data_centre.clone()).or_insert_with(|| region.as_str().into());
+    }
+    let caller = Locality { data_centre, regions };
     let members = process.members.borrow();
-    let ready = members.live(now).filter(|(_, status)| *status == Status::Ready);
-    let mut nodes: Vec<(SocketAddr, Arc<str>)> = ready
-        .map(|(member, _)| {
-            (member.heartbeat.caller_address, Arc::clone(&member.heartbeat.data_centre))
+    let mut candidates: Vec<Candidate> = members
+        .serving(process.clock.now())
+        .map(|member| &member.heartbeat)
+        .map(|node| Candidate {
+            address: node.caller_address,
+            distance: caller.distance(&node.data_centre),
+            capacity: node.capacity,
+            sends_per_second: node.sends_per_second,
         })
         .collect();
-    if process.is_ready() {
-        let settings = &process.settings;
-        nodes.push((settings.caller_address, Arc::clone(&settings.data_centre)));
+    let is_serving = process.role.borrow().is_serving();
+    if process.is_ready() && (is_serving || candidates.is_empty()) {
+        candidates.push(Candidate {
+            address: settings.caller_address,
+            distance: caller.distance(&settings.data_centre),
+            capacity: settings.capacity,
+            sends_per_second: process.sends_per_second.get(),
+        });
     }
-    let mut found = nearest(&nodes, lookup, &process.settings.regions);
+    let mut found = placement::choose(&candidates, process.max_fan_out());
     found.truncate(MAX_ADDRESSES);
     found
 }
-
-/// The addresses of the nodes in the caller's data centre; if there are none, of those in
-/// its region; if there are none either, of all.
-fn nearest(
-    nodes: &[(SocketAddr, Arc<str>)],
-    lookup: &Lookup,
-    regions: &HashMap<Arc<str>, Arc<str>>,
-) -> Vec<SocketAddr> {
-    let in_data_centre =
-        |data_centre: &Arc<str>| lookup.data_centre.as_deref() == Some(&**data_centre);
-    let in_region = |data_centre: &Arc<str>| {
-        lookup.region.is_some()
-            && lookup.region.as_deref() == regions.get(data_centre).map(|r| &**r)
-    };
-    let all = |_: &Arc<str>| true;
-    let scopes: [&dyn Fn(&Arc<str>) -> bool; 3] = [&in_data_centre, &in_region, &all];
-    let within = |in_scope: &dyn Fn(&Arc<str>) -> bool| -> Vec<SocketAddr> {
-        nodes
-            .iter()
-            .filter(|(_, data_centre)| in_scope(data_centre))
-            .map(|(address, _)| *address)
-            .collect()
-    };
-    scopes.into_iter().map(within).find(|found| !found.is_empty()).unwrap_or_default()
-}
--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -1,8 +1,17 @@
-//! The state of the other entry nodes, from their heartbeats. No I/O.
+//! The entry nodes: all that are known, and the state of those whose heartbeats
+//! arrive. No I/O.
+//!
+//! Serving nodes send heartbeats to every node of their region, and to the serving
+//! nodes of other regions. A standby node announces itself when it starts and rarely
+//! after that. So the cost of a standby node does not depend on the size of the fleet,
+//! and that of a serving node depends on its region's size only.
 //!
 //! Invariant: once a node has reported that it is leaving, its present incarnation is
 //! never returned to callers again.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -13,8 +22,31 @@
 use serde::Serialize;
 
 use base::time::Time;
+use replica::record::Distance;
+use replica::table::Locality;
+
+/// An entry node, whether it runs or not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its IP address.
+    pub ip: IpAddr,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Its share of a processor core, in thousandths.
+    pub capacity: u32,
+}
 
-/// A heartbeat, which each node sends to all others periodically.
+/// The order in which the nodes of a data centre take up work: larger VMs first.
+pub type Rank = (Reverse<u32>, IpAddr);
+
+impl Peer {
+    /// Its rank among the nodes of its data centre, which is the same on all nodes.
+    pub fn rank(&self) -> Rank {
+        (Reverse(self.capacity), self.ip)
+    }
+}
+
+/// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The name of the sender.
@@ -28,12 +60,20 @@
     pub caller_address: SocketAddr,
     /// Its data centre.
     pub data_centre: Arc<str>,
+    /// Its share of a processor core, in thousandths.
+    pub capacity: u32,
     /// Whether it is ready to serve callers.
     pub ready: bool,
     /// Whether it is shutting down.
     pub leaving: bool,
-    /// Addresses of some of the nodes that it has found.
-    pub known: Vec<IpAddr>,
+    /// Whether callers are sent to it; otherwise it stands by.
+    pub serving: bool,
+    /// Whether its last call to the registry succeeded; `true` if it makes none.
+    pub registry_answers: bool,
+    /// The number of requests that it sends to upstream servers per second.
+    pub sends_per_second: u32,
+    /// Some of the nodes that it knows.
+    pub known: Vec<Peer>,
 }
 
 /// Whether callers may be sent to a node.
@@ -47,7 +87,7 @@
     Silent,
 }
 
-/// Another node.
+/// Another node whose heartbeats arrive or have arrived.
 #[derive(Clone, Debug)]
 pub struct Member {
     /// Its last heartbeat.
@@ -56,63 +96,171 @@
     pub received_at: Time,
 }
 
-/// The other nodes, by address.
+/// All nodes, as this one knows them.
 #[derive(Debug)]
 pub struct Members {
-    own: IpAddr,
+    own: Peer,
+    locality: Locality,
+    /// Addresses of which nothing else is known.
+    seeds: BTreeSet<IpAddr>,
+    peers: BTreeMap<IpAddr, Peer>,
     members: HashMap<IpAddr, Member>,
-    addresses: Vec<IpAddr>,
+    last_tick: Time,
+    /// No node is silent until then.
+    grace_until: Time,
+    discovery_time: Duration,
 }
 
-/// The minimum interval between heartbeats to a node. It is longer in a large deployment,
-/// where the rate of heartbeats that a node sends is at its maximum.
-pub const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// The maximum rate of heartbeats that a node sends, whatever the number of nodes.
-const MAX_HEARTBEATS_PER_SECOND: f64 = 30.0;
+/// The interval between the heartbeats of a serving node to the nodes of its region.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Heartbeats to other regions are sent once in so many intervals.
+const FAR_INTERVALS: u32 = 3;
 /// The number of consecutive missed heartbeats after which a node is silent.
 const MAX_MISSED_HEARTBEATS: u32 = 4;
-/// The maximum number of addresses in a heartbeat.
-const MAX_ADDRESSES_PER_HEARTBEAT: usize = 8;
+/// The number of heartbeats by which a node announces itself to its region.
+const ANNOUNCEMENTS: u64 = 3;
+/// A standby node repeats its announcement to the serving nodes of its data centre once
+/// in so many intervals.
+const STANDBY_INTERVALS: u64 = 25;
+/// Seeds that have not sent a heartbeat are contacted once in so many intervals.
+const SEED_INTERVALS: u64 = 5;
+/// The number of nodes of each other data centre that get heartbeats before any of them
+/// is known to serve.
+const FAR_CONTACTS: usize = 3;
+/// The maximum number of nodes in [`Heartbeat::known`].
+const MAX_KNOWN: usize = 8;
+/// A gap between two heartbeats above this means that this node was paused, not the
+/// others.
+const MAX_TICK_GAP: Duration = Duration::from_millis(1000);
+/// How long a node waits to find others after its start, if none is registered.
+const DISCOVERY_TIME: Duration = Duration::from_millis(1200);
+/// The same while all nodes start and register: until the second list of the nodes.
+const FIRST_DISCOVERY_TIME: Duration = Duration::from_millis(4500);
+/// How long a node counts as active after its last heartbeat.
+const ACTIVE_TIMEOUT: Duration = Duration::from_secs(20);
 
 impl Members {
-    /// The state of the node at `own`, which has found no other nodes yet.
-    pub fn new(own: IpAddr) -> Self {
-        Self { own, members: HashMap::new(), addresses: Vec::new() }
+    /// The state of a node that knows no others yet; `first_start` tells whether the others
+    /// start at the same time and are not registered yet.
+    pub fn new(own: Peer, locality: Locality, first_start: bool) -> Self {
+        let discovery_time = if first_start { FIRST_DISCOVERY_TIME } else { DISCOVERY_TIME };
+        Self {
+            own,
+            locality,
+            seeds: BTreeSet::new(),
+            peers: BTreeMap::new(),
+            members: HashMap::new(),
+            last_tick: Time::ZERO,
+            grace_until: Time::ZERO,
+            discovery_time,
+        }
+    }
+
+    /// This node.
+    pub fn own(&self) -> &Peer {
+        &self.own
     }
 
     /// Adds the address of a node that may exist.
-    pub fn add_address(&mut self, ip: IpAddr) {
-        if ip != self.own && !self.addresses.contains(&ip) {
-            self.addresses.push(ip);
+    pub fn add_seed(&mut self, ip: IpAddr) {
+        if ip != self.own.ip && !self.peers.contains_key(&ip) {
+            self.seeds.insert(ip);
+        }
+    }
+
+    /// Adds a node, or updates what is known of it.
+    pub fn add_peer(&mut self, peer: Peer) {
+        if peer.ip != self.own.ip {
+            self.seeds.remove(&peer.ip);
+            self.peers.insert(peer.ip, peer);
         }
     }
 
-    /// The addresses of all other nodes that may exist.
-    pub fn addresses(&self) -> &[IpAddr] {
-        &self.addresses
+    /// All other nodes that are known.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
     }
 
-    /// The interval between heartbeats to each node.
-    pub fn heartbeat_interval(&self) -> Duration {
-        MIN_HEARTBEAT_INTERVAL
-            .max(Duration::from_secs_f64(self.addresses.len() as f64 / MAX_HEARTBEATS_PER_SECOND))
+    /// The addresses of all other nodes, those of this node's data centre first.
+    pub fn addresses(&self) -> Vec<IpAddr> {
+        let mut peers: Vec<&Peer> = self.peers.values().collect();
+        peers.sort_by_key(|peer| (self.distance(&peer.data_centre), peer.rank()));
+        peers.iter().map(|peer| peer.ip).chain(self.seeds.iter().copied()).collect()
     }
 
-    /// The addresses to include in heartbeat `number`; successive heartbeats go through
-    /// all addresses.
-    pub fn addresses_to_send(&self, number: usize) -> Vec<IpAddr> {
-        let count = self.addresses.len().min(MAX_ADDRESSES_PER_HEARTBEAT);
-        let start = number * MAX_ADDRESSES_PER_HEARTBEAT;
-        (0..count).map(|at| self.addresses[(start + at) % self.addresses.len()]).collect()
+    /// The distance from this node to a data centre.
+    pub fn distance(&self, data_centre: &str) -> Distance {
+        self.locality.distance(data_centre)
+    }
+
+    /// The nodes that heartbeat `number` of this node is sent to.
+    pub fn targets(&self, now: Time, number: u64, serving: bool, leaving: bool) -> Vec<IpAddr> {
+        let in_region = |peer: &&Peer| self.distance(&peer.data_centre) < Distance::Far;
+        let mut targets: Vec<IpAddr> = Vec::new();
+        if serving || leaving || number < ANNOUNCEMENTS {
+            targets.extend(self.peers.values().filter(in_region).map(|peer| peer.ip));
+        } else if number.is_multiple_of(STANDBY_INTERVALS) {
+            let own_data_centre =
+                self.serving(now).filter(|m| m.heartbeat.data_centre == self.own.data_centre);
+            targets.extend(own_data_centre.map(|member| member.heartbeat.caller_address.ip()));
+        }
+        if (serving && number.is_multiple_of(u64::from(FAR_INTERVALS))) || leaving {
+            targets.extend(self.far_contacts(now));
+        }
+        if number.is_multiple_of(SEED_INTERVALS) {
+            targets.extend(self.seeds.iter().copied());
+        }
+        targets
+    }
+
+    /// The serving nodes of other regions, and the first nodes of each data centre there.
+    fn far_contacts(&self, now: Time) -> BTreeSet<IpAddr> {
+        let mut by_data_centre: BTreeMap<&str, Vec<&Peer>> = BTreeMap::new();
+        for peer in self.peers.values() {
+            if self.distance(&peer.data_centre) == Distance::Far {
+                by_data_centre.entry(&*peer.data_centre).or_default().push(peer);
+            }
+        }
+        let serving = self.serving(now).map(|member| member.heartbeat.caller_address.ip());
+        let mut contacts: BTreeSet<IpAddr> = serving
+            .filter(|ip| {
+                self.peers.get(ip).is_some_and(|p| self.distance(&p.data_centre) == Distance::Far)
+            })
+            .collect();
+        for peers in by_data_centre.values_mut() {
+            peers.sort_by_key(|peer| peer.rank());
+            contacts.extend(peers.iter().take(FAR_CONTACTS).map(|peer| peer.ip));
+        }
+        contacts
+    }
+
+    /// The nodes to include in heartbeat `number`; successive heartbeats go through all.
+    pub fn known_to_send(&self, number: u64) -> Vec<Peer> {
+        let count = self.peers.len().min(MAX_KNOWN);
+        let start = number as usize * MAX_KNOWN;
+        let peers: Vec<&Peer> = self.peers.values().collect();
+        (0..count).map(|at| peers[(start + at) % peers.len()].clone()).collect()
+    }
+
+    /// Records that this node runs. After a pause, the heartbeats that arrived meanwhile are
+    /// read first, before other nodes can count as silent.
+    pub fn tick(&mut self, now: Time) {
+        if now.since(self.last_tick) > MAX_TICK_GAP {
+            self.grace_until = now + HEARTBEAT_INTERVAL * 2;
+        }
+        self.last_tick = now;
     }
 
     /// Processes a heartbeat from the node at `from`; returns the node's previous
     /// status.
     pub fn on_heartbeat(&mut self, now: Time, from: IpAddr, heartbeat: Heartbeat) -> Status {
         let before = self.status(now, from);
-        self.add_address(from);
-        for ip in &heartbeat.known {
-            self.add_address(*ip);
+        let (data_centre, capacity) = (Arc::clone(&heartbeat.data_centre), heartbeat.capacity);
+        self.add_peer(Peer { ip: from, data_centre, capacity });
+        for peer in &heartbeat.known {
+            if !self.peers.contains_key(&peer.ip) {
+                self.add_peer(peer.clone());
+            }
         }
         let last = self.members.get(&from);
         // A heartbeat that arrives out of order doesn't make a leaving node ready again.
@@ -129,31 +277,73 @@
 
     /// The status of the node at `ip`.
     pub fn status(&self, now: Time, ip: IpAddr) -> Status {
-        let Some(member) = self.members.get(&ip) else { return Status::Silent };
-        if now.since(member.received_at) > self.heartbeat_interval() * MAX_MISSED_HEARTBEATS {
+        self.members.get(&ip).map_or(Status::Silent, |member| self.member_status(now, member))
+    }
+
+    fn member_status(&self, now: Time, member: &Member) -> Status {
+        let heartbeat = &member.heartbeat;
+        let intervals = match self.distance(&heartbeat.data_centre) {
+            Distance::Far => FAR_INTERVALS,
+            Distance::DataCentre | Distance::Region => 1,
+        };
+        let silent_after = HEARTBEAT_INTERVAL * intervals * MAX_MISSED_HEARTBEATS;
+        if now.since(member.received_at) > silent_after && now >= self.grace_until {
             Status::Silent
-        } else if member.heartbeat.ready && !member.heartbeat.leaving {
+        } else if heartbeat.ready && !heartbeat.leaving {
             Status::Ready
         } else {
             Status::NotReady
         }
     }
 
-    /// The nodes whose heartbeats arrive.
-    pub fn live(&self, now: Time) -> impl Iterator<Item = (&Member, Status)> {
-        let with_status = move |(ip, member): (&IpAddr, _)| (member, self.status(now, *ip));
-        self.members.iter().map(with_status).filter(|(_, status)| *status != Status::Silent)
+    /// The other nodes that callers may be sent to.
+    pub fn serving(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let is_serving = move |member: &&Member| {
+            member.heartbeat.serving && self.member_status(now, member) == Status::Ready
+        };
+        self.members.values().filter(is_serving)
     }
 
-    /// The number of nodes that may be serving, including this one. A silent node
-    /// counts for a while, since only the network between the two may have failed.
-    pub fn active_nodes(&self, now: Time) -> u32 {
+    /// The other serving nodes of this node's data centre, whether or not they have the
+    /// registry's state yet.
+    pub fn elected(&self, now: Time) -> impl Iterator<Item = &Heartbeat> {
+        self.members
+            .values()
+            .filter(move |member| self.member_status(now, member) != Status::Silent)
+            .map(|member| &member.heartbeat)
+            .filter(|node| {
+                node.serving && !node.leaving && node.data_centre == self.own.data_centre
+            })
+    }
+
+    /// Whether all nodes start for the first time.
+    pub fn is_first_start(&self) -> bool {
+        self.discovery_time == FIRST_DISCOVERY_TIME
+    }
+
+    /// Whether this node may still find others after its start.
+    pub fn is_discovering(&self, now: Time) -> bool {
+        now < Time::ZERO + self.discovery_time
+    }
+
+    /// Whether the node at `ip` is known to be unable to serve: it is leaving, or its
+    /// heartbeats stopped while it served.
+    pub fn is_down(&self, now: Time, ip: IpAddr) -> bool {
+        self.members.get(&ip).is_some_and(|member| {
+            let heartbeat = &member.heartbeat;
+            heartbeat.leaving
+                || (heartbeat.serving && self.member_status(now, member) == Status::Silent)
+        })
+    }
+
+    /// The number of other nodes that serve or served a short time ago. A silent one counts
+    /// for a while, since only the network between the two may have failed.
+    pub fn recently_serving(&self, now: Time) -> u32 {
         let is_active = |member: &&Member| {
-            now.since(member.received_at) < ACTIVE_TIMEOUT && !member.heartbeat.leaving
+            member.heartbeat.serving
+                && now.since(member.received_at) < ACTIVE_TIMEOUT
+                && !member.heartbeat.leaving
         };
-        1 + self.members.values().filter(is_active).count() as u32
+        self.members.values().filter(is_active).count() as u32
     }
 }
-
-/// How long a node counts as active after its last heartbeat.
-const ACTIVE_TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -31,6 +31,7 @@
     attempts: Counter<u64>,
     extra_sends: Counter<u64>,
     registry_calls: Counter<u64>,
+    peer_polls: Counter<u64>,
 }
 
 impl Metrics {
@@ -50,6 +51,7 @@
             missing_shards: meter.u64_counter("heatherseam_missing_shards").build(),
             attempts: meter.u64_counter("heatherseam_attempts").build(),
             extra_sends: meter.u64_counter("heatherseam_extra_sends").build(),
+            peer_polls: meter.u64_counter("heatherseam_peer_polls").build(),
             registry_calls: meter.u64_counter("heatherseam_registry_calls").build(),
             _provider: provider,
         })
@@ -87,6 +89,11 @@
         self.registry_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a poll of a node that watches the registry.
+    pub(crate) fn record_peer_poll(&self, result: &'static str) {
+        self.peer_polls.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// All metrics in the text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = Vec::new();
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -11,11 +11,17 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::feed::Feed;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
+use crate::registry::Kind;
 use crate::registry::Registry;
+use crate::serving::Role;
 use crate::settings::Settings;
+use crate::shares::Shares;
+use crate::source::Selector;
+use crate::source::Source;
 use crate::upstream::Pool;
 use base::entity::Server;
 use replica::budget::Budget;
@@ -42,6 +48,25 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) members: RefCell<Members>,
+    /// Whether this node serves callers or stands by.
+    pub(crate) role: RefCell<Role>,
+    /// This node's present shares of the limits.
+    pub(crate) shares: Cell<Shares>,
+    /// The revisions and recent changes of the registry's state.
+    pub(crate) feeds: RefCell<Feeds>,
+    /// Notified when [`Self::feeds`] has changes.
+    pub(crate) state_changed: Notify,
+    pub(crate) selector: RefCell<Selector>,
+    /// Where the registry's state comes from at present.
+    pub(crate) source: Cell<Source>,
+    /// Notified when [`Self::source`] is the registry.
+    pub(crate) source_changed: Notify,
+    /// Whether the last call to the registry succeeded.
+    pub(crate) registry_answers: Cell<bool>,
+    /// The number of requests that were sent to upstream servers.
+    pub(crate) sends: Cell<u64>,
+    /// The same per second, on average over the last seconds.
+    pub(crate) sends_per_second: Cell<u32>,
     /// Whether a list of the servers was received.
     pub(crate) has_server_list: Cell<bool>,
     /// Whether the process is shutting down.
@@ -60,6 +85,11 @@
         !self.leaving.get() && self.has_server_list.get() && self.router.borrow().is_some()
     }
 
+    /// The greatest number of services that one request is sent to.
+    pub(crate) fn max_fan_out(&self) -> usize {
+        self.router.borrow().as_ref().map_or(1, |router| router.max_fan_out())
+    }
+
     /// Calls `update` with the table, and logs if that ejects `server` or readmits it.
     /// A server is readmitted here when it replies, not when its ejection ends.
     pub(crate) fn update_table<T>(
@@ -92,6 +122,45 @@
     }
 }
 
+/// The number of batches that are kept for the nodes that follow this one; only the newest
+/// configuration is of use.
+const KEPT_CONFIG_BATCHES: usize = 1;
+const KEPT_SERVER_BATCHES: usize = 64;
+
+/// The feeds of the kinds that nodes pass on to each other.
+pub(crate) struct Feeds {
+    config: Feed,
+    servers: Feed,
+    /// Not passed on; holds only the revision.
+    nodes: Feed,
+}
+
+impl Feeds {
+    pub(crate) fn new() -> Self {
+        Self {
+            config: Feed::new(KEPT_CONFIG_BATCHES),
+            servers: Feed::new(KEPT_SERVER_BATCHES),
+            nodes: Feed::new(0),
+        }
+    }
+
+    pub(crate) fn of(&self, kind: Kind) -> &Feed {
+        match kind {
+            Kind::Config => &self.config,
+            Kind::Servers => &self.servers,
+            Kind::Nodes => &self.nodes,
+        }
+    }
+
+    pub(crate) fn of_mut(&mut self, kind: Kind) -> &mut Feed {
+        match kind {
+            Kind::Config => &mut self.config,
+            Kind::Servers => &mut self.servers,
+            Kind::Nodes => &mut self.nodes,
+        }
+    }
+}
+
 /// Statistics of a route's requests at this node.
 pub(crate) struct RouteStats {
     /// The service time at a server.
--- a/crates/process/entry/src/registry.rs
+++ b/crates/process/entry/src/registry.rs
@@ -8,6 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use site::config::Config;
 use site::register::Entry;
 
@@ -15,7 +18,7 @@
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + 'a>>;
 
 /// A kind of objects that can be listed and watched.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// Versions of the configuration.
     Config,
@@ -26,7 +29,7 @@
 }
 
 /// The registered data of an entry node.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Node {
     /// Its unique name.
     pub name: Arc<str>,
@@ -36,10 +39,12 @@
     pub caller_address: SocketAddr,
     /// Its data centre.
     pub data_centre: Arc<str>,
+    /// Its share of a processor core, in thousandths.
+    pub capacity: u32,
 }
 
 /// One object of the registry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Item {
     /// A version of the configuration.
     Config(Box<Config>),
@@ -50,7 +55,7 @@
 }
 
 /// An object of a list, or a change.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// The object was created, changed or listed; its present content.
     Put(Item),
@@ -66,7 +71,7 @@
 }
 
 /// A list, or the changes since a revision.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Batch {
     /// The objects or changes.
     pub events: Vec<Event>,
@@ -95,10 +100,20 @@
     Malformed(String),
 }
 
+/// How recent the state of a list must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It must contain all changes that were made before the call.
+    Current,
+    /// It may be some seconds old; this costs the registry less.
+    Recent,
+}
+
 /// A client of the registry.
 pub trait Registry {
-    /// Lists all objects of a kind.
-    fn list(&self, kind: Kind) -> Pending<'_, Batch>;
+    /// Lists all objects of a kind. The revision is at most that of the oldest object of the
+    /// list, so that a watch from there misses no change.
+    fn list(&self, kind: Kind, freshness: Freshness) -> Pending<'_, Batch>;
 
     /// Returns the changes of a kind since `revision`; waits up to `wait` if there are
     /// none yet.
--- /dev/null
+++ b/crates/process/entry/src/relay.rs
@@ -0,0 +1,298 @@
+//! The registry's state passed on between nodes: each node answers polls from its copy,
+//! and a node that doesn't watch the registry polls those that do.
+//!
+//! Invariant: a node's state never goes back to an older revision, whichever node it
+//! follows.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::task::AbortHandle;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::feed::Since;
+use crate::process::Process;
+use crate::registry::Batch;
+use crate::registry::Event;
+use crate::registry::Item;
+use crate::registry::Kind;
+use crate::serve;
+use crate::serve::Answer;
+use crate::source::Source;
+use crate::upstream;
+use crate::watcher;
+
+/// How long a poll waits for a change.
+const POLL_WAIT: Duration = Duration::from_millis(700);
+/// The timeout of a poll in addition to its wait; the transfer of a whole state to a small
+/// VM takes a tenth of it.
+const POLL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest wait that a poll may ask for.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+/// The interval between choices of the source while this node watches the registry itself.
+const WATCHER_INTERVAL: Duration = Duration::from_millis(400);
+/// The delay after a failed poll.
+const FAILURE_DELAY: Duration = Duration::from_millis(50);
+/// The maximum size of an answer.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// The maximum number of nodes that are asked for their state after one failed call to the
+/// registry.
+const MAX_PEERS_ASKED: usize = 6;
+
+/// The kinds that are passed on.
+const KINDS: [Kind; 2] = [Kind::Config, Kind::Servers];
+
+/// A poll: what the asking node has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Poll {
+    /// The revision of its configuration, if it has one.
+    config: Option<u64>,
+    /// The revision of its servers, if it has them.
+    servers: Option<u64>,
+    /// How long to wait for a change, in milliseconds.
+    wait_ms: u64,
+}
+
+impl Poll {
+    fn revision(&self, kind: Kind) -> Option<u64> {
+        match kind {
+            Kind::Config => self.config,
+            Kind::Servers => self.servers,
+            Kind::Nodes => None,
+        }
+    }
+}
+
+/// What the asking node misses of one kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Update {
+    kind: Kind,
+    is_list: bool,
+    batch: Batch,
+}
+
+/// The answer to a poll.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct State {
+    /// What the asking node misses.
+    updates: Vec<Update>,
+    /// How long ago the answering node saw the last outage of the registry end, in
+    /// milliseconds.
+    outage_age_ms: Option<u64>,
+}
+
+/// The connections to the nodes that this one follows.
+type Links = HashMap<IpAddr, Link>;
+
+/// A connection to a node that this one follows.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Answers a poll of another node: at once if it misses something, else as soon as there is a
+/// change or its wait ends.
+pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
+    let body = match Limited::new(request.into_body(), 1024).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::debug!(target: "members", "A poll was not received: {error}.");
+            return serve::empty_answer(StatusCode::BAD_REQUEST, None);
+        }
+    };
+    let poll: Poll = match rmp_serde::from_slice(&body) {
+        Ok(poll) => poll,
+        Err(error) => {
+            log::warn!(target: "members", error:% = error; "A poll can't be decoded.");
+            return serve::empty_answer(StatusCode::BAD_REQUEST, None);
+        }
+    };
+    let mut updates = missed(&process, &poll);
+    if updates.is_empty() {
+        let wait = Duration::from_millis(poll.wait_ms).min(MAX_WAIT);
+        // A timeout is the usual end of a poll.
+        let _ = timeout(wait, process.state_changed.notified()).await;
+        updates = missed(&process, &poll);
+    }
+    if updates.is_empty() && !process.is_ready() && !process.leaving.get() {
+        return serve::empty_answer(StatusCode::SERVICE_UNAVAILABLE, None);
+    }
+    let now = process.clock.now();
+    let outage_end = process.fleet.borrow().outage_end();
+    let outage_age_ms = outage_end.map(|end| now.since(end).as_millis() as u64);
+    match rmp_serde::to_vec(&State { updates, outage_age_ms }) {
+        Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
+        Err(error) => {
+            log::error!(target: "members", error:% = error; "The registry's state can't be encoded.");
+            serve::empty_answer(StatusCode::INTERNAL_SERVER_ERROR, None)
+        }
+    }
+}
+
+/// What a node with the revisions of `poll` misses of this node's state.
+fn missed(process: &Process, poll: &Poll) -> Vec<Update> {
+    let feeds = process.feeds.borrow();
+    let of_kind = |kind: Kind| match feeds.of(kind).since(poll.revision(kind)) {
+        Since::Nothing => None,
+        Since::Changes(batch) => Some(Update { kind, is_list: false, batch }),
+        Since::List { revision } => {
+            let batch = Batch { events: list(process, kind), revision };
+            Some(Update { kind, is_list: true, batch })
+        }
+    };
+    KINDS.into_iter().filter_map(of_kind).collect()
+}
+
+/// All objects of a kind that this node has.
+fn list(process: &Process, kind: Kind) -> Vec<Event> {
+    match kind {
+        Kind::Config => {
+            let config = process.config.borrow().clone();
+            config.map(|config| Event::Put(Item::Config(Box::new(config)))).into_iter().collect()
+        }
+        Kind::Servers => {
+            let fleet = process.fleet.borrow();
+            fleet.entries().cloned().map(|entry| Event::Put(Item::Server(entry))).collect()
+        }
+        Kind::Nodes => Vec::new(),
+    }
+}
+
+/// Follows the watchers for as long as the process runs; while this node is a watcher itself,
+/// [`watcher::run`] makes the calls.
+pub(crate) async fn follow(process: Rc<Process>) {
+    let mut links = Links::new();
+    loop {
+        let source = choose_source(&process);
+        if process.source.replace(source) != source {
+            log::debug!(target: "registry", source:? = source; "The source of the registry's state changed.");
+        }
+        let Source::Peer(ip) = source else {
+            links.clear();
+            if source == Source::Registry {
+                process.source_changed.notify_waiters();
+            }
+            sleep(WATCHER_INTERVAL).await;
+            continue;
+        };
+        match timeout(POLL_WAIT + POLL_TIMEOUT, poll(&process, &mut links, ip, POLL_WAIT)).await {
+            Ok(Ok(state)) => {
+                process.metrics.record_peer_poll("answered");
+                apply(&process, state);
+            }
+            failure => {
+                links.remove(&ip);
+                process.metrics.record_peer_poll("failed");
+                let reason = match failure {
+                    Ok(Err(error)) => error.to_string(),
+                    _ => "no answer in time".to_owned(),
+                };
+                log::info!(target: "registry", watcher:% = ip, reason = reason.as_str(); "A watcher did not answer; another source is used for a while.");
+                process.selector.borrow_mut().failed(process.clock.now(), ip);
+                sleep(FAILURE_DELAY).await;
+            }
+        }
+    }
+}
+
+fn choose_source(process: &Process) -> Source {
+    let serving = process.role.borrow().is_serving() && !process.leaving.get();
+    let members = process.members.borrow();
+    process.selector.borrow_mut().choose(
+        process.clock.now(),
+        &members,
+        serving,
+        process.registry_answers.get(),
+    )
+}
+
+/// Polls the node at `ip`, on the open connection to it if there is one.
+async fn poll(
+    process: &Process,
+    links: &mut Links,
+    ip: IpAddr,
+    wait: Duration,
+) -> Result<State, Box<dyn std::error::Error>> {
+    if links.get(&ip).is_none_or(|link| link.sender.is_closed()) {
+        let address = SocketAddr::new(ip, process.settings.peer_port);
+        let (sender, connection) = upstream::connect(address).await?;
+        let task = spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(target: "members", "The connection to {ip} closed: {error}.");
+            }
+        });
+        links.insert(ip, Link { sender, task: task.abort_handle() });
+    }
+    let Some(link) = links.get_mut(&ip) else { return Err("no connection".into()) };
+    let poll = {
+        let feeds = process.feeds.borrow();
+        let revision = |kind| feeds.of(kind).revision();
+        Poll {
+            config: revision(Kind::Config),
+            servers: revision(Kind::Servers),
+            wait_ms: wait.as_millis() as u64,
+        }
+    };
+    let mut request = Request::new(Full::new(Bytes::from(rmp_serde::to_vec(&poll)?)));
+    *request.method_mut() = hyper::Method::POST;
+    let host = hyper::http::HeaderValue::from_str(&ip.to_string())?;
+    request.headers_mut().insert(hyper::header::HOST, host);
+    let response = link.sender.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(format!("status {}", response.status()).into());
+    }
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    Ok(rmp_serde::from_slice(&body)?)
+}
+
+fn apply(process: &Process, state: State) {
+    if let Some(age) = state.outage_age_ms {
+        let now = process.clock.now();
+        process.fleet.borrow_mut().outage_ended(now.before(Duration::from_millis(age)));
+    }
+    for update in state.updates {
+        watcher::apply_batch(process, update.kind, update.batch, update.is_list);
+    }
+}
+
+/// Asks nodes one after another for their state, nearest first, and applies the first answer:
+/// for a start while the registry does not answer.
+pub(crate) async fn fetch_state(process: &Process) {
+    let peers = process.members.borrow().addresses();
+    for ip in peers.into_iter().take(MAX_PEERS_ASKED) {
+        let mut links = Links::new();
+        match timeout(POLL_TIMEOUT, poll(process, &mut links, ip, Duration::ZERO)).await {
+            Ok(Ok(state)) if !state.updates.is_empty() => {
+                log::info!(target: "members", peer:% = ip; "The registry's state was received from a peer.");
+                return apply(process, state);
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => {
+                log::debug!(target: "members", "Peer {ip} did not send the registry's state: {error}.");
+            }
+            Err(_) => log::debug!(target: "members", "Peer {ip} did not answer in time."),
+        }
+    }
+}
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -19,22 +19,29 @@
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
-use crate::bootstrap;
 use crate::clock::Clock;
 use crate::front;
 use crate::heartbeat;
 use crate::listener;
 use crate::lookup;
 use crate::members::Members;
+use crate::members::Peer;
 use crate::metrics::Metrics;
+use crate::process::Feeds;
 use crate::process::Process;
 use crate::process::StatsByRoute;
 use crate::protocol::Protocol;
 use crate::registry::Kind;
 use crate::registry::Registry;
+use crate::relay;
+use crate::serving::Role;
 use crate::settings::Settings;
+use crate::shares::Shares;
+use crate::source::Selector;
+use crate::source::Source;
 use crate::upstream::Pool;
 use crate::watcher;
+use base::time::Time;
 use replica::budget::Budget;
 use replica::table::Locality;
 use replica::table::Table;
@@ -114,7 +121,8 @@
     spawn_local(watcher::run(Rc::clone(&process), Kind::Servers));
     spawn_local(watcher::register_and_list_nodes(Rc::clone(&process)));
     spawn_local(watcher::expire_servers(Rc::clone(&process)));
-    spawn_local(listener::accept(Rc::clone(&process), peers, bootstrap::handle));
+    spawn_local(listener::accept(Rc::clone(&process), peers, relay::handle));
+    spawn_local(relay::follow(Rc::clone(&process)));
     spawn_local(heartbeat::send(Rc::clone(&process), Rc::clone(&socket)));
     spawn_local(heartbeat::receive(Rc::clone(&process), socket));
 
@@ -161,8 +169,16 @@
     let mut rng = rand::rng();
     let locality =
         Locality { data_centre: settings.data_centre.clone(), regions: settings.regions.clone() };
-    let mut members = Members::new(settings.ip);
-    settings.seeds.iter().for_each(|seed| members.add_address(*seed));
+    let own = Peer {
+        ip: settings.ip,
+        data_centre: settings.data_centre.clone(),
+        capacity: settings.capacity,
+    };
+    let mut members = Members::new(own, locality.clone(), settings.first_start);
+    settings.seeds.iter().for_each(|seed| members.add_seed(*seed));
+    let shares = Shares { serving: false, serving_nodes: 0, standby_nodes: 1 };
+    let mut budget = Budget::new(settings.retry_budget);
+    budget.set_share(Time::ZERO, shares.slack_fraction());
     Ok(Process {
         clock,
         protocol,
@@ -171,11 +187,21 @@
         router: RefCell::new(None),
         fleet: RefCell::new(Fleet::new(fleet::Settings::default())),
         table: RefCell::new(Table::new(locality, rng.random())),
-        budget: RefCell::new(Budget::new(settings.retry_budget)),
+        budget: RefCell::new(budget),
         route_stats: RefCell::new(StatsByRoute::default()),
         pool: Pool::new(clock),
         metrics: Metrics::new()?,
         members: RefCell::new(members),
+        role: RefCell::new(Role::default()),
+        shares: Cell::new(shares),
+        feeds: RefCell::new(Feeds::new()),
+        state_changed: Notify::new(),
+        selector: RefCell::new(Selector::default()),
+        source: Cell::new(Source::Registry),
+        source_changed: Notify::new(),
+        registry_answers: Cell::new(true),
+        sends: Cell::new(0),
+        sends_per_second: Cell::new(0),
         has_server_list: Cell::new(false),
         leaving: Cell::new(false),
         shutdown_started: Notify::new(),
--- /dev/null
+++ b/crates/process/entry/src/serving.rs
@@ -0,0 +1,144 @@
+//! Which nodes of a data centre serve callers, and which stand by. No I/O.
+//!
+//! Each node decides for itself from the heartbeats of the serving nodes of its data
+//! centre and from the order of all its nodes: the larger VMs serve, as many as the load
+//! needs. If serving nodes are missing, the next nodes in that order take their place; if
+//! those don't, since they are down themselves, the ones after them do a step later.
+//!
+//! Invariant: a data centre with a live node has a serving node within a bounded time,
+//! whichever nodes fail. A standby node answers requests too; only lookups don't name it.
+
+use std::time::Duration;
+
+use crate::members::Heartbeat;
+use crate::members::Members;
+use crate::members::Peer;
+use base::time::Time;
+
+/// The minimum number of serving nodes of a data centre that has as many.
+const MIN_SERVING: usize = 3;
+/// The processor time that one request to an upstream server takes, reply included.
+pub const SEND_COST: Duration = Duration::from_micros(80);
+/// The fraction of the serving nodes' capacity that their load may use on average, so
+/// that bursts and the loss of one of them are borne.
+const MAX_UTILIZATION: f64 = 0.35;
+/// How long the next nodes in the order have to start to serve.
+const PROMOTION_STEP: Duration = Duration::from_millis(400);
+/// How long a node that is no longer needed goes on serving.
+const DEMOTION_DELAY: Duration = Duration::from_secs(3);
+
+/// Whether this node serves.
+#[derive(Debug, Default)]
+pub struct Role {
+    serving: bool,
+    shortage_since: Option<Time>,
+    surplus_since: Option<Time>,
+}
+
+/// A set of serving nodes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Supply {
+    nodes: usize,
+    capacity: u32,
+}
+
+impl Supply {
+    fn with(self, capacity: u32) -> Self {
+        Self { nodes: self.nodes + 1, capacity: self.capacity + capacity }
+    }
+
+    fn suffices(self, needed_capacity: f64) -> bool {
+        self.nodes >= MIN_SERVING && f64::from(self.capacity) >= needed_capacity
+    }
+}
+
+impl Role {
+    /// Whether lookups name this node.
+    pub fn is_serving(&self) -> bool {
+        self.serving
+    }
+
+    /// Decides again; `ready` tells whether this node has the registry's state, and `own_sends` how many
+    /// requests it sends to upstream servers per second. Returns whether the role changed.
+    pub fn update(&mut self, now: Time, members: &Members, ready: bool, own_sends: u32) -> bool {
+        let before = self.serving;
+        let own = members.own();
+        let serving: Vec<&Heartbeat> =
+            members.elected(now).filter(|node| node.ready || !ready).collect();
+        let sends = own_sends + serving.iter().map(|node| node.sends_per_second).sum::<u32>();
+        let needed = f64::from(sends) * SEND_COST.as_secs_f64() * 1000.0 / MAX_UTILIZATION;
+        if self.serving {
+            self.update_serving(now, own, &serving, needed);
+        } else {
+            self.update_standby(now, members, &serving, needed);
+        }
+        self.serving != before
+    }
+
+    /// Stops serving once the nodes before this one have sufficed for a while.
+    fn update_serving(&mut self, now: Time, own: &Peer, serving: &[&Heartbeat], needed: f64) {
+        let is_before = |node: &&&Heartbeat| {
+            let ip = node.caller_address.ip();
+            let peer = Peer { ip, data_centre: node.data_centre.clone(), capacity: node.capacity };
+            peer.rank() < own.rank()
+        };
+        let supply = supply(serving.iter().filter(is_before).map(|node| node.capacity));
+        if !supply.suffices(needed) {
+            self.surplus_since = None;
+            return;
+        }
+        let since = *self.surplus_since.get_or_insert(now);
+        if now.since(since) >= DEMOTION_DELAY {
+            *self = Self::default();
+        }
+    }
+
+    /// Starts to serve if serving nodes are missing and it is this node's turn.
+    fn update_standby(
+        &mut self,
+        now: Time,
+        members: &Members,
+        serving: &[&Heartbeat],
+        needed: f64,
+    ) {
+        let present = supply(serving.iter().map(|node| node.capacity));
+        if present.suffices(needed) {
+            self.shortage_since = None;
+            return;
+        }
+        let own = members.own();
+        let has_registered = members.peers().any(|peer| peer.data_centre == own.data_centre);
+        if members.is_discovering(now) && (members.is_first_start() || !has_registered) {
+            return;
+        }
+        let is_candidate = |peer: &&Peer| {
+            peer.data_centre == own.data_centre
+                && !members.is_down(now, peer.ip)
+                && !serving.iter().any(|node| node.caller_address.ip() == peer.ip)
+        };
+        let mut candidates: Vec<&Peer> = members.peers().filter(is_candidate).collect();
+        candidates.push(own);
+        candidates.sort_by_key(|peer| peer.rank());
+        let missing = missing_nodes(present, &candidates, needed);
+        let since = *self.shortage_since.get_or_insert(now);
+        let steps = now.since(since).as_millis() / PROMOTION_STEP.as_millis();
+        let turn = candidates.iter().position(|peer| peer.ip == own.ip).unwrap_or_default();
+        if turn < missing * (steps as usize + 1) {
+            *self = Self { serving: true, ..Self::default() };
+        }
+    }
+}
+
+fn supply(capacities: impl Iterator<Item = u32>) -> Supply {
+    capacities.fold(Supply::default(), Supply::with)
+}
+
+/// How many of the first candidates are needed in addition to those present.
+fn missing_nodes(present: Supply, candidates: &[&Peer], needed: f64) -> usize {
+    let mut supply = present;
+    let enough = candidates.iter().position(|peer| {
+        supply = supply.with(peer.capacity);
+        supply.suffices(needed)
+    });
+    enough.map_or(candidates.len(), |index| index + 1).max(1)
+}
--- a/crates/process/entry/src/settings.rs
+++ b/crates/process/entry/src/settings.rs
@@ -19,6 +19,8 @@
     pub regions: HashMap<Arc<str>, Arc<str>>,
     /// Its IP address.
     pub ip: IpAddr,
+    /// Its share of a processor core, in thousandths.
+    pub capacity: u32,
     /// The address that serves callers' requests.
     pub caller_address: SocketAddr,
     /// The address that answers readiness checks.
@@ -29,6 +31,9 @@
     pub metrics_address: Option<SocketAddr>,
     /// The port for traffic between nodes, the same on all nodes.
     pub peer_port: u16,
+    /// Whether the whole deployment starts for the first time, so that no node is registered
+    /// yet.
+    pub first_start: bool,
     /// IP addresses of the nodes to contact first, at `peer_port`; the ports that the
     /// settings file has for them belong to another service.
     pub seeds: Vec<IpAddr>,
--- /dev/null
+++ b/crates/process/entry/src/source.rs
@@ -0,0 +1,81 @@
+//! Where a node gets the registry's state from: the registry itself, or another node that
+//! watches it. No I/O.
+//!
+//! The first serving nodes of each data centre watch the registry, and all others follow
+//! them in turn, so that one watcher that is cut off from the registry delays a change by
+//! one poll at most. A serving node that reports that the registry does not answer watches
+//! only if no other one can.
+//!
+//! Invariant: a node that has no live watcher to follow watches the registry itself, once
+//! the time for discovery after its start is over.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::time::Duration;
+
+use crate::members::Members;
+use crate::members::Rank;
+use base::time::Time;
+
+/// A source of the registry's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// None: the node has just started, and waits until it has found the others.
+    Discovery,
+    /// The registry.
+    Registry,
+    /// The node at this address.
+    Peer(IpAddr),
+}
+
+/// The number of watchers of a data centre.
+pub const WATCHERS: usize = 2;
+/// How long a watcher that did not answer is not asked again.
+const SUSPICION_TIME: Duration = Duration::from_secs(3);
+
+/// Chooses a node's source.
+#[derive(Debug, Default)]
+pub struct Selector {
+    suspected_until: HashMap<IpAddr, Time>,
+    turn: usize,
+}
+
+impl Selector {
+    /// The source of the next call. `serving` tells whether this node serves, and
+    /// `registry_answers` whether its last call to the registry succeeded.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        members: &Members,
+        serving: bool,
+        registry_answers: bool,
+    ) -> Source {
+        self.suspected_until.retain(|_, until| *until > now);
+        let own = members.own();
+        let mut ranked: Vec<(bool, Rank)> = members
+            .elected(now)
+            .map(|node| (!node.registry_answers, node.capacity, node.caller_address.ip()))
+            .filter(|(_, _, ip)| !self.suspected_until.contains_key(ip))
+            .map(|(fails, capacity, ip)| (fails, (std::cmp::Reverse(capacity), ip)))
+            .collect();
+        if serving {
+            ranked.push((!registry_answers, own.rank()));
+        }
+        ranked.sort();
+        ranked.truncate(WATCHERS);
+        if ranked.is_empty() && members.is_discovering(now) {
+            return Source::Discovery;
+        }
+        if ranked.is_empty() || ranked.iter().any(|(_, (_, ip))| *ip == own.ip) {
+            return Source::Registry;
+        }
+        self.turn += 1;
+        let (_, (_, ip)) = ranked[self.turn % ranked.len()];
+        Source::Peer(ip)
+    }
+
+    /// Records that the watcher at `ip` did not answer.
+    pub fn failed(&mut self, now: Time, ip: IpAddr) {
+        self.suspected_until.insert(ip, now + SUSPICION_TIME);
+    }
+}
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -4,7 +4,8 @@
 //!
 //! Invariants: a connection whose last reply was not read completely is closed and never
 //! reused. No request waits for a server if the last connect to it failed and no
-//! connection is busy.
+//! connection is busy. A connection that the server closes at once, before it carries a
+//! request, counts as a failed connect, so that a server above its limit is not asked again and again.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -37,8 +38,6 @@
 const MAX_WAITERS: usize = 16;
 /// The number of connections to a server whose limit is not known yet.
 const DEFAULT_CONNECTIONS: u32 = 2;
-/// The maximum number of connections to a server, whatever its limit.
-const MAX_CONNECTIONS: u32 = 12;
 /// How long before the server's idle timeout a connection is no longer reused.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// How long sent data may stay unacknowledged before the connection is closed.
@@ -47,6 +46,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// The number of unanswered probes after which a connection is closed.
 const MAX_KEEPALIVE_PROBES: u32 = 2;
+/// A server that closes a connection sooner after it was opened does not accept it.
+const MIN_CONNECTION_AGE: Duration = Duration::from_millis(60);
 /// The delay after a failed connect.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(250);
 
@@ -55,6 +56,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// When it is too close to the server's idle timeout to be reused.
     pub(crate) idle_deadline: Time,
+    /// Whether it was leased for a request.
+    leased: Rc<Cell<bool>>,
     task: AbortHandle,
 }
 
@@ -99,17 +102,10 @@
         Self { clock, upstreams: RefCell::new(ByServer::new()) }
     }
 
-    /// Adds a server, or updates this node's share of the connection limit, which is divided
-    /// among `nodes` nodes.
-    pub(crate) fn set_server(
-        &self,
-        server: Server,
-        address: SocketAddr,
-        limit: Option<u32>,
-        nodes: u32,
-    ) {
-        let share = limit
-            .map_or(DEFAULT_CONNECTIONS, |limit| (limit / nodes.max(1)).clamp(1, MAX_CONNECTIONS));
+    /// Adds a server, or updates this node's share of its connections; `None` if its limit is
+    /// not known.
+    pub(crate) fn set_server(&self, server: Server, address: SocketAddr, share: Option<u32>) {
+        let share = share.unwrap_or(DEFAULT_CONNECTIONS);
         let mut upstreams = self.upstreams.borrow_mut();
         let upstream = upstreams[server].get_or_insert_with(|| Upstream {
             connections: Rc::new(RefCell::new(Connections::new(share, MAX_WAITERS))),
@@ -156,12 +152,7 @@
             let connections = Rc::clone(&upstream.connections);
             while let Some((id, connection)) = take_newest_idle(&connections) {
                 if !connection.sender.is_closed() && self.clock.now() < connection.idle_deadline {
-                    return Ok(Lease {
-                        connections,
-                        id,
-                        connection: Some(connection),
-                        reusable: false,
-                    });
+                    return Ok(Lease::new(connections, id, connection));
                 }
                 connection.task.abort();
                 connections.borrow_mut().remove(id);
@@ -181,12 +172,7 @@
         };
         let result = receiver.await;
         match result {
-            Ok((id, connection)) => Ok(Lease {
-                connections: Rc::clone(&guard.connections),
-                id,
-                connection: Some(connection),
-                reusable: false,
-            }),
+            Ok((id, connection)) => Ok(Lease::new(Rc::clone(&guard.connections), id, connection)),
             Err(_) => Err(LeaseError::Unreachable),
         }
     }
@@ -218,6 +204,11 @@
 }
 
 impl Lease {
+    fn new(connections: SharedConnections, id: ConnectionId, connection: Connection) -> Self {
+        connection.leased.set(true);
+        Self { connections, id, connection: Some(connection), reusable: false }
+    }
+
     /// The leased connection.
     pub(crate) fn connection(&mut self) -> Option<&mut Connection> {
         self.connection.as_mut()
@@ -295,17 +286,26 @@
             opening.reachability.connect_failed.set(false);
             let (connections, id) = (Rc::clone(&opening.connections), opening.id);
             let owner = Rc::clone(&opening.connections);
+            let reachability = Rc::clone(&opening.reachability);
+            let opened_at = clock.now();
+            let leased = Rc::new(Cell::new(false));
+            let was_leased = Rc::clone(&leased);
             let task = tokio::task::spawn_local(async move {
                 if let Err(error) = connection.await {
                     log::debug!(target: "upstream", "Connection closed: {error}.");
                 }
+                let now = clock.now();
+                if !was_leased.get() && now.since(opened_at) < MIN_CONNECTION_AGE {
+                    reachability.connect_failed.set(true);
+                    reachability.retry_at.set(now + CONNECT_BACKOFF);
+                }
                 owner.borrow_mut().remove(id);
             });
             let idle_deadline = clock.now() + DEFAULT_MAX_AGE;
             return_connection(
                 &connections,
                 id,
-                Connection { sender, idle_deadline, task: task.abort_handle() },
+                Connection { sender, idle_deadline, leased, task: task.abort_handle() },
             );
             return;
         }
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -1,21 +1,27 @@
-//! Watches the registry for changes of the configuration, the servers and the nodes.
+//! Watches the registry for changes of the configuration, the servers and the nodes, if
+//! this node is one of the watchers of its data centre, and applies changes from the
+//! registry and from other nodes.
 //!
-//! Invariant: a version of the configuration is never replaced by an older one.
+//! Invariants: a version of the configuration is never replaced by an older one. The
+//! state of a kind never goes back to an older revision.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::sleep;
 
-use crate::bootstrap;
-use crate::bootstrap::RegistryState;
+use crate::members::Peer;
 use crate::process::Process;
 use crate::registry::Batch;
 use crate::registry::Error;
 use crate::registry::Event;
+use crate::registry::Freshness;
 use crate::registry::Item;
 use crate::registry::Kind;
 use crate::registry::Node;
+use crate::relay;
+use crate::shares::Shares;
+use crate::source::Source;
 use site::config::Config;
 use site::fleet;
 use site::fleet::Change;
@@ -23,7 +29,7 @@
 
 /// How long the registry is asked to wait for a change. Calls received while the registry
 /// hangs are never answered; such a watch ends only after this plus the call's timeout.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// The same for the first watch after a failure, since the registry may still hang.
 const WATCH_WAIT_AFTER_FAILURE: Duration = Duration::from_secs(1);
 /// The delay of the next watch after changes, so that it returns several further changes
@@ -36,19 +42,30 @@
 /// seconds of the end of an outage.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Watches the objects of a kind for as long as the process runs.
+/// Watches the objects of a kind for as long as the process runs, while this node is a
+/// watcher. The first list is taken by every node.
 pub(crate) async fn run(process: Rc<Process>, kind: Kind) {
-    let mut revision = None;
     let mut failures = 0;
+    let mut compacted = false;
     loop {
+        let revision = process.feeds.borrow().of(kind).revision();
+        if revision.is_some() && process.source.get() != Source::Registry {
+            failures = 0;
+            process.source_changed.notified().await;
+            continue;
+        }
         let call = match revision {
-            None => process.registry.list(kind).await,
-            Some(revision) => {
+            Some(revision) if !compacted => {
                 let wait = if failures > 0 { WATCH_WAIT_AFTER_FAILURE } else { WATCH_WAIT };
                 process.registry.watch(kind, revision, wait).await
             }
+            // Without a state, an older list will do: the watch that follows brings the
+            // changes since then.
+            None => process.registry.list(kind, Freshness::Recent).await,
+            Some(_) => process.registry.list(kind, Freshness::Current).await,
         };
         process.metrics.record_registry_call(if call.is_ok() { "answered" } else { "failed" });
+        process.registry_answers.set(call.is_ok() || call == Err(Error::Compacted));
         match call {
             Ok(batch) => {
                 if failures > 0 {
@@ -56,8 +73,8 @@
                 }
                 failures = 0;
                 let changed = !batch.events.is_empty();
-                let is_list = revision.is_none();
-                revision = Some(batch.revision);
+                let is_list = revision.is_none() || compacted;
+                compacted = false;
                 apply_batch(&process, kind, batch, is_list);
                 if changed {
                     sleep(BATCH_DELAY).await;
@@ -65,15 +82,15 @@
             }
             Err(Error::Compacted) => {
                 log::info!(target: "registry", kind:? = kind; "The registry no longer keeps the changes since the last revision; listing again.");
-                revision = None;
+                compacted = true;
             }
             Err(error) => {
                 if failures == 0 {
                     log::warn!(target: "registry", kind:? = kind, error:% = error; "Calls to the registry fail.");
                 }
                 failures += 1;
-                if !is_known(&process, kind) {
-                    bootstrap::fetch_from_peers(&process).await;
+                if process.feeds.borrow().of(kind).revision().is_none() {
+                    relay::fetch_state(&process).await;
                 }
                 sleep(backoff(&process, failures)).await;
             }
@@ -81,27 +98,6 @@
     }
 }
 
-fn is_known(process: &Process, kind: Kind) -> bool {
-    match kind {
-        Kind::Config => process.router.borrow().is_some(),
-        Kind::Servers => process.has_server_list.get(),
-        Kind::Nodes => true,
-    }
-}
-
-/// Applies a peer's copy of the kinds that were not received from the registry yet.
-pub(crate) fn apply_peer_state(process: &Process, state: RegistryState) {
-    if !is_known(process, Kind::Config) {
-        install_config(process, &state.config);
-    }
-    if !is_known(process, Kind::Servers) {
-        let now = process.clock.now();
-        let changes = process.fleet.borrow_mut().apply_list(now, state.servers);
-        process.has_server_list.set(true);
-        apply_changes(process, &changes);
-    }
-}
-
 fn on_outage_ended(process: &Process, kind: Kind, failures: u32) {
     log::info!(target: "registry", kind:? = kind, failures; "The registry answers again.");
     process.fleet.borrow_mut().outage_ended(process.clock.now());
@@ -115,10 +111,17 @@
     delay.mul_f64(0.5 + 0.5 * process.table.borrow_mut().random_fraction())
 }
 
-fn apply_batch(process: &Process, kind: Kind, batch: Batch, is_list: bool) {
+/// Applies a list or changes of a kind, unless they are older than the present state.
+pub(crate) fn apply_batch(process: &Process, kind: Kind, batch: Batch, is_list: bool) {
+    if process.feeds.borrow().of(kind).revision().is_some_and(|known| batch.revision < known) {
+        log::debug!(target: "registry", kind:? = kind, revision = batch.revision; "An older state was ignored.");
+        return;
+    }
+    process.feeds.borrow_mut().of_mut(kind).record(&batch, is_list);
     let mut servers = Vec::new();
     let mut changes = Vec::new();
     let now = process.clock.now();
+    let is_empty = batch.events.is_empty();
     for event in batch.events {
         match event {
             Event::Put(Item::Config(config)) => install_config(process, &config),
@@ -126,7 +129,10 @@
             Event::Put(Item::Server(entry)) => {
                 changes.extend(process.fleet.borrow_mut().apply(now, fleet::Event::Put(entry)));
             }
-            Event::Put(Item::Node(node)) => process.members.borrow_mut().add_address(node.ip),
+            Event::Put(Item::Node(node)) => {
+                let Node { ip, data_centre, capacity, .. } = node;
+                process.members.borrow_mut().add_peer(Peer { ip, data_centre, capacity });
+            }
             Event::Removed(name) if kind == Kind::Servers => {
                 changes.extend(process.fleet.borrow_mut().apply(now, fleet::Event::Removed(name)));
             }
@@ -149,6 +155,9 @@
         process.has_server_list.set(true);
         apply_changes(process, &changes);
     }
+    if !is_empty {
+        process.state_changed.notify_waiters();
+    }
 }
 
 /// Starts to use a version of the configuration, unless it is older than or the same as
@@ -202,29 +211,44 @@
 }
 
 /// Recomputes this node's share of each server's connections and of the budget of extra
-/// sends.
+/// sends. A serving node opens a connection to each server.
 pub(crate) fn update_shares(process: &Process) {
-    let nodes = process.members.borrow().active_nodes(process.clock.now());
-    let before = process.budget.borrow_mut().set_nodes(nodes);
-    if before != nodes {
-        log::info!(target: "limits", nodes, before; "The shares of connections and extra sends changed with the number of active nodes.");
+    let shares = current_shares(process);
+    let before = process.shares.replace(shares);
+    if before != shares {
+        log::info!(target: "limits", serving = shares.serving, nodes = shares.serving_nodes, standby = shares.standby_nodes, before = before.serving_nodes; "The shares of connections and extra sends changed.");
     }
+    let now = process.clock.now();
+    process.budget.borrow_mut().set_share(now, shares.slack_fraction());
     let table = process.table.borrow();
     for server in table.servers_in_use() {
         let record = table.record(server);
+        let limit = table.connection_limit(server);
         process.pool.set_server(
             server,
             record.address,
-            table.connection_limit(server),
-            nodes + SPARE_NODES,
+            limit.map(|limit| shares.connections(limit)),
         );
-        process.pool.preconnect(server);
+        if shares.serving {
+            process.pool.preconnect(server);
+        }
+    }
+}
+
+/// Calls [`update_shares`] if the nodes that share the limits have changed.
+pub(crate) fn update_shares_if_changed(process: &Process) {
+    if current_shares(process) != process.shares.get() {
+        update_shares(process);
     }
 }
 
-/// The number of nodes that may have joined but not sent a heartbeat yet; their share of
-/// the connections stays free.
-const SPARE_NODES: u32 = 1;
+fn current_shares(process: &Process) -> Shares {
+    let members = process.members.borrow();
+    let serving = process.role.borrow().is_serving();
+    let serving_nodes = members.recently_serving(process.clock.now()) + u32::from(serving);
+    let all_nodes = members.peers().count() as u32 + 1;
+    Shares { serving, serving_nodes, standby_nodes: all_nodes.saturating_sub(serving_nodes) }
+}
 
 /// Registers this node, then lists the others periodically.
 pub(crate) async fn register_and_list_nodes(process: Rc<Process>) {
@@ -234,6 +258,7 @@
         ip: settings.ip,
         caller_address: settings.caller_address,
         data_centre: settings.data_centre.clone(),
+        capacity: settings.capacity,
     };
     let mut failures = 0;
     while let Err(error) = process.registry.register(&node).await {
@@ -241,11 +266,23 @@
         log::info!(target: "members", error:% = error, failures; "This node is not registered yet.");
         sleep(backoff(&process, failures)).await;
     }
+    let mut lists = 0;
+    let mut failures = 0;
     loop {
-        match process.registry.list(Kind::Nodes).await {
+        match process.registry.list(Kind::Nodes, Freshness::Recent).await {
             Ok(batch) => {
+                failures = 0;
+                lists += 1;
                 apply_batch(&process, Kind::Nodes, batch, true);
-                sleep(NODE_LIST_INTERVAL).await;
+                sleep(if lists < FIRST_NODE_LISTS {
+                    FIRST_NODE_LIST_INTERVAL
+                } else {
+                    NODE_LIST_INTERVAL
+                })
+                .await;
+                while lists >= FIRST_NODE_LISTS && process.source.get() != Source::Registry {
+                    process.source_changed.notified().await;
+                }
             }
             Err(error) => {
                 failures += 1;
@@ -256,6 +293,11 @@
     }
 }
 
-/// The interval between lists of the registered nodes; heartbeats announce new nodes in
-/// between.
+/// The interval between a watcher's lists of the registered nodes; heartbeats announce new
+/// nodes in between.
 const NODE_LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// The number of lists that every node takes after its start: others may start at the same
+/// time and register after the first one.
+const FIRST_NODE_LISTS: u32 = 2;
+/// The interval between those.
+const FIRST_NODE_LIST_INTERVAL: Duration = Duration::from_secs(3);
--- a/crates/process/entry/tests/heartbeats.rs
+++ b/crates/process/entry/tests/heartbeats.rs
@@ -1,94 +1,143 @@
 //! The state of other nodes, from their heartbeats.
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use base::time::Time;
+use crate::support::at;
+use crate::support::heartbeat;
+use crate::support::ip;
+use crate::support::members;
+use crate::support::peer;
+use entry::members::HEARTBEAT_INTERVAL;
 use entry::members::Heartbeat;
-use entry::members::MIN_HEARTBEAT_INTERVAL;
 use entry::members::Members;
 use entry::members::Status;
 
-fn ip(last: u8) -> IpAddr {
-    IpAddr::from([10, 0, 0, last])
+mod support;
+
+fn own() -> Members {
+    members(&peer(0, 1, 500))
 }
 
-fn heartbeat(last: u8, incarnation: u64, ready: bool, leaving: bool) -> Heartbeat {
-    Heartbeat {
-        name: Arc::from(format!("n{last}").as_str()),
-        incarnation,
-        caller_address: (ip(last), 80).into(),
-        data_centre: Arc::from("hall"),
-        ready,
-        leaving,
-        known: Vec::new(),
-    }
+/// A heartbeat of node `number` of this node's data centre.
+fn beat(number: usize, incarnation: u64, ready: bool, leaving: bool) -> Heartbeat {
+    Heartbeat { ready, leaving, ..heartbeat(&peer(0, number, 500), incarnation) }
 }
 
-fn at(ms: u64) -> Time {
-    Time::from_millis(ms)
+fn serving(members: &Members, ms: u64) -> usize {
+    members.serving(at(ms)).count()
 }
 
 #[test]
 fn silent_node_is_not_listed() {
-    let mut members = Members::new(ip(1));
-    members.on_heartbeat(at(0), ip(2), heartbeat(2, 1, true, false));
-    assert_eq!(members.status(at(0) + MIN_HEARTBEAT_INTERVAL * 3, ip(2)), Status::Ready);
-    assert_eq!(members.status(at(0) + MIN_HEARTBEAT_INTERVAL * 5, ip(2)), Status::Silent);
-    assert_eq!(members.live(at(0) + MIN_HEARTBEAT_INTERVAL * 5).count(), 0);
+    let mut members = own();
+    members.on_heartbeat(at(0), ip(0, 2), beat(2, 1, true, false));
+    assert_eq!(members.status(at(0) + HEARTBEAT_INTERVAL * 3, ip(0, 2)), Status::Ready);
+    assert_eq!(members.status(at(0) + HEARTBEAT_INTERVAL * 5, ip(0, 2)), Status::Silent);
+    assert_eq!(members.serving(at(0) + HEARTBEAT_INTERVAL * 5).count(), 0);
+}
+
+/// A dead node must leave the answers to lookups within two seconds, however many nodes
+/// there are: the interval to the nodes of a region does not grow with the fleet.
+#[test]
+fn dead_node_is_silent_within_two_seconds_at_any_size() {
+    for nodes in [6, 60, 300, 1000] {
+        let mut members = own();
+        (2..nodes).for_each(|number| members.add_peer(peer(number % 4, number, 120)));
+        members.on_heartbeat(at(0), ip(0, 2), beat(2, 1, true, false));
+        (0..=5).for_each(|tick| members.tick(at(tick * 400)));
+        assert_eq!(serving(&members, 2000), 0, "{nodes} nodes");
+    }
+}
+
+/// A node that was frozen finds old heartbeats and must read the new ones first.
+#[test]
+fn own_pause_makes_no_node_silent() {
+    let mut members = own();
+    members.tick(at(0));
+    members.on_heartbeat(at(0), ip(0, 2), beat(2, 1, true, false));
+    members.tick(at(7000));
+    assert_eq!(members.status(at(7000), ip(0, 2)), Status::Ready);
+    members.tick(at(7400));
+    members.tick(at(7800));
+    assert_eq!(members.status(at(7900), ip(0, 2)), Status::Silent);
 }
 
 #[test]
 fn leaving_lasts_for_the_incarnation() {
-    let mut members = Members::new(ip(1));
-    members.on_heartbeat(at(0), ip(2), heartbeat(2, 1, true, false));
-    members.on_heartbeat(at(10), ip(2), heartbeat(2, 1, false, true));
+    let mut members = own();
+    members.on_heartbeat(at(0), ip(0, 2), beat(2, 1, true, false));
+    members.on_heartbeat(at(10), ip(0, 2), beat(2, 1, false, true));
     // A heartbeat that was sent before the last one arrives after it.
-    members.on_heartbeat(at(20), ip(2), heartbeat(2, 1, true, false));
-    assert_eq!(members.status(at(20), ip(2)), Status::NotReady);
-    members.on_heartbeat(at(30), ip(2), heartbeat(2, 2, true, false));
-    assert_eq!(members.status(at(30), ip(2)), Status::Ready);
+    members.on_heartbeat(at(20), ip(0, 2), beat(2, 1, true, false));
+    assert_eq!(members.status(at(20), ip(0, 2)), Status::NotReady);
+    members.on_heartbeat(at(30), ip(0, 2), beat(2, 2, true, false));
+    assert_eq!(members.status(at(30), ip(0, 2)), Status::Ready);
 }
 
 #[test]
 fn nodes_are_discovered_from_heartbeats() {
-    let mut members = Members::new(ip(1));
-    let mut first = heartbeat(2, 1, true, false);
-    first.known = vec![ip(1), ip(2), ip(3)];
-    members.on_heartbeat(at(0), ip(2), first);
-    let mut addresses = members.addresses().to_vec();
-    addresses.sort();
-    assert_eq!(addresses, [ip(2), ip(3)]);
+    let mut members = own();
+    let mut first = beat(2, 1, true, false);
+    first.known = vec![peer(0, 1, 500), peer(0, 2, 500), peer(0, 3, 500)];
+    members.on_heartbeat(at(0), ip(0, 2), first);
+    assert_eq!(members.addresses(), [ip(0, 2), ip(0, 3)]);
 }
 
 #[test]
-fn all_addresses_are_sent_in_turn() {
-    let mut members = Members::new(ip(1));
-    (2..40).for_each(|last| members.add_address(ip(last)));
+fn all_nodes_are_sent_in_turn() {
+    let mut members = own();
+    (2..40).for_each(|number| members.add_peer(peer(0, number, 500)));
     let mut sent: Vec<IpAddr> =
-        (0..5).flat_map(|number| members.addresses_to_send(number)).collect();
+        (0..5).flat_map(|number| members.known_to_send(number)).map(|peer| peer.ip).collect();
     sent.sort();
     sent.dedup();
     assert_eq!(sent.len(), 38);
 }
 
+/// The number of heartbeats that a node sends per second, over a minute.
+fn rate(members: &Members, serving: bool) -> f64 {
+    let sent: usize =
+        (3..153).map(|number| members.targets(at(5000), number, serving, false).len()).sum();
+    sent as f64 / (150.0 * HEARTBEAT_INTERVAL.as_secs_f64())
+}
+
+/// The rate of a standby node does not grow with the fleet; that of a serving node grows
+/// with its region only.
 #[test]
 fn heartbeat_rate_is_bounded() {
-    let mut members = Members::new(ip(1));
-    for last in 2..=255 {
-        members.add_address(ip(last));
+    let mut in_region = Vec::new();
+    for nodes in [40, 400, 4000] {
+        let mut members = own();
+        (2..100).for_each(|number| members.add_peer(peer(0, number, 120)));
+        (0..nodes).for_each(|number| members.add_peer(peer(2, number, 120)));
+        for number in 2..5 {
+            members.on_heartbeat(at(4900), ip(0, number), beat(number, 1, true, false));
+        }
+        let standby = rate(&members, false);
+        assert!(standby <= 1.0, "{standby} heartbeats a second of a standby node");
+        in_region.push(rate(&members, true));
     }
-    let rate = members.addresses().len() as f64 / members.heartbeat_interval().as_secs_f64();
-    assert!(rate <= 31.0, "{rate} heartbeats a second");
+    let slowest = in_region.iter().copied().fold(f64::MAX, f64::min);
+    let fastest = in_region.iter().copied().fold(0.0, f64::max);
+    assert!(fastest <= slowest * 1.01, "{in_region:?} heartbeats a second of a serving node");
+}
+
+/// All nodes of the region hear at once that a node leaves.
+#[test]
+fn leaving_node_tells_all_of_its_region() {
+    let mut members = own();
+    (2..50).for_each(|number| members.add_peer(peer(0, number, 120)));
+    (2..50).for_each(|number| members.add_peer(peer(1, number, 120)));
+    assert!(members.targets(at(5000), 7, true, true).len() >= 96);
 }
 
 #[test]
-fn unreachable_node_counts_as_active_until_the_timeout() {
-    let mut members = Members::new(ip(1));
-    members.on_heartbeat(at(0), ip(2), heartbeat(2, 1, true, false));
-    members.on_heartbeat(at(0), ip(3), heartbeat(3, 1, true, false));
-    members.on_heartbeat(at(10), ip(3), heartbeat(3, 1, false, true));
-    assert_eq!(members.active_nodes(at(0) + Duration::from_secs(10)), 2);
-    assert_eq!(members.active_nodes(at(0) + Duration::from_secs(60)), 1);
+fn unreachable_node_counts_until_the_timeout() {
+    let mut members = own();
+    members.on_heartbeat(at(0), ip(0, 2), beat(2, 1, true, false));
+    members.on_heartbeat(at(0), ip(0, 3), beat(3, 1, true, false));
+    members.on_heartbeat(at(10), ip(0, 3), beat(3, 1, false, true));
+    assert_eq!(members.recently_serving(at(0) + Duration::from_secs(10)), 1);
+    assert_eq!(members.recently_serving(at(0) + Duration::from_secs(60)), 0);
 }
--- /dev/null
+++ b/crates/process/entry/tests/lookup_placement.rs
@@ -0,0 +1,67 @@
+//! Which nodes a lookup names.
+
+use std::net::SocketAddr;
+
+use entry::placement;
+use entry::placement::Candidate;
+use replica::record::Distance;
+
+fn node(number: u8, distance: Distance, capacity: u32) -> Candidate {
+    let address = SocketAddr::from(([10, 0, 0, number], 80));
+    Candidate { address, distance, capacity, sends_per_second: 0 }
+}
+
+fn numbers(found: &[SocketAddr]) -> Vec<u8> {
+    let mut numbers: Vec<u8> = found
+        .iter()
+        .map(|address| match address {
+            SocketAddr::V4(v4) => v4.ip().octets()[3],
+            SocketAddr::V6(_) => 0,
+        })
+        .collect();
+    numbers.sort();
+    numbers
+}
+
+/// The pattern of a search over many shards: on a small VM, the processor time of a request
+/// is longer than the way to a large one nearby.
+#[test]
+fn wide_searches_go_to_large_nodes_of_the_region() {
+    let nodes = [
+        node(1, Distance::DataCentre, 120),
+        node(2, Distance::DataCentre, 500),
+        node(3, Distance::Region, 500),
+        node(4, Distance::Region, 500),
+        node(5, Distance::Far, 500),
+    ];
+    assert_eq!(numbers(&placement::choose(&nodes, 90)), [2, 3, 4]);
+}
+
+#[test]
+fn narrow_requests_stay_in_the_data_centre_or_region() {
+    let nodes = [
+        node(1, Distance::DataCentre, 250),
+        node(2, Distance::DataCentre, 250),
+        node(3, Distance::Far, 250),
+    ];
+    assert_eq!(numbers(&placement::choose(&nodes, 10)), [1, 2]);
+}
+
+#[test]
+fn far_nodes_serve_if_no_others_do() {
+    let nodes = [node(3, Distance::Far, 250), node(4, Distance::Far, 250)];
+    assert_eq!(numbers(&placement::choose(&nodes, 10)), [3, 4]);
+}
+
+#[test]
+fn overloaded_nodes_are_named_last() {
+    let busy =
+        |number| Candidate { sends_per_second: 6000, ..node(number, Distance::DataCentre, 500) };
+    let nodes = [busy(1), busy(2), busy(3), node(4, Distance::Region, 500)];
+    assert_eq!(placement::choose(&nodes, 90).first().map(|a| numbers(&[*a])), Some(vec![4]));
+}
+
+#[test]
+fn no_nodes_give_no_addresses() {
+    assert!(placement::choose(&[], 90).is_empty());
+}
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -277,7 +277,7 @@
             Table::new(Locality { data_centre: zone(index), regions }, index as u64 + 7);
         let extra = budget::Settings { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
         let mut budget = Budget::new(extra);
-        budget.set_nodes(self.scenario.nodes as u32);
+        budget.set_share(Time::ZERO, 1.0 / self.scenario.nodes as f64);
         let mut servers = HashMap::new();
         self.services.clear();
         for shard in 0..self.scenario.shards {
--- a/crates/version/replica/src/budget.rs
+++ b/crates/version/replica/src/budget.rs
@@ -2,13 +2,13 @@
 //! a request to a service.
 //!
 //! All nodes share one budget per service and window: a fraction of the requests
-//! plus a slack. Each node uses the fraction of its own requests and an equal
-//! share of the slack, so nodes need not coordinate.
+//! plus a slack. Each node uses the fraction of its own requests and its share of
+//! the slack, so nodes need not coordinate.
 //!
 //! Invariant: within any window the extra sends of a node stay at or below
 //! [`Settings::ratio`] of its first sends in that window plus its share of the
-//! slack. The share of a node that has just started grows over its first window,
-//! since the previous process on the node may have used it up.
+//! slack. A share that has been raised grows over one window, since other nodes, or
+//! the previous process on this one, may have used it up.
 
 use std::time::Duration;
 
@@ -85,15 +85,17 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     settings: Settings,
-    /// The number of nodes that share the slack.
-    nodes: u32,
+    /// This node's share of the slack, from 0 to 1.
+    share: f64,
+    /// The share before it was last raised, and when that was.
+    raised_from: (Time, f64),
     windows: SecondaryMap<Service, Window>,
 }
 
 impl Budget {
-    /// The budget of a node that is the only one.
+    /// The budget of a node that is the only one and has just started.
     pub fn new(settings: Settings) -> Self {
-        Self { settings, nodes: 1, windows: SecondaryMap::new() }
+        Self { settings, share: 1.0, raised_from: (Time::ZERO, 0.0), windows: SecondaryMap::new() }
     }
 
     /// Changes the limits.
@@ -101,9 +103,22 @@
         self.settings = settings;
     }
 
-    /// Sets the number of nodes that share the slack; returns the previous number.
-    pub fn set_nodes(&mut self, nodes: u32) -> u32 {
-        std::mem::replace(&mut self.nodes, nodes.max(1))
+    /// Sets this node's share of the slack, from 0 to 1.
+    pub fn set_share(&mut self, now: Time, share: f64) {
+        let present = self.present_share(now);
+        if share > present {
+            self.raised_from = (now, present);
+        } else {
+            self.raised_from = (Time::ZERO, share);
+        }
+        self.share = share;
+    }
+
+    /// The share that may be used now.
+    fn present_share(&self, now: Time) -> f64 {
+        let (at, before) = self.raised_from;
+        let grown = now.since(at).as_secs_f64() / self.settings.window.as_secs_f64();
+        before + (self.share - before) * grown.min(1.0)
     }
 
     /// The number of the bucket at `now`, counted from time zero.
@@ -127,8 +142,7 @@
     /// The fraction of the allowed extra sends that would be used after one more send;
     /// above 1 if none is left.
     pub fn used_fraction(&mut self, now: Time, service: Service) -> f64 {
-        let uptime = now.since(Time::ZERO).as_secs_f64() / self.settings.window.as_secs_f64();
-        let slack = self.settings.slack / f64::from(self.nodes) * uptime.min(1.0);
+        let slack = self.settings.slack * self.present_share(now);
         let ratio = self.settings.ratio;
         let sum = self.window(now, service).sum();
         let allowed = USABLE_FRACTION * (slack + ratio * f64::from(sum.first));
--- a/crates/version/replica/tests/extra_budget.rs
+++ b/crates/version/replica/tests/extra_budget.rs
@@ -26,7 +26,7 @@
     let mut sends = Vec::new();
     for _ in 0..nodes {
         let mut budget = Budget::new(SETTINGS);
-        budget.set_nodes(nodes);
+        budget.set_share(Time::ZERO, 1.0 / f64::from(nodes));
         for number in 0..rate * seconds {
             let at = Time(number * 1_000_000 / rate);
             budget.first_send(at, service());
--- a/crates/version/site/src/fleet.rs
+++ b/crates/version/site/src/fleet.rs
@@ -92,9 +92,14 @@
         self.entries.values()
     }
 
-    /// Records that the registry is available again after an outage.
-    pub fn outage_ended(&mut self, now: Time) {
-        self.outage_end = Some(now);
+    /// Records that an outage of the registry ended at `end`.
+    pub fn outage_ended(&mut self, end: Time) {
+        self.outage_end = self.outage_end.max(Some(end));
+    }
+
+    /// The end of the last outage of the registry.
+    pub fn outage_end(&self) -> Option<Time> {
+        self.outage_end
     }
 
     /// Applies one event; returns the change that it causes.
--- a/crates/version/site/src/router.rs
+++ b/crates/version/site/src/router.rs
@@ -80,6 +80,12 @@
         Self { version: config.version, limits: config.limits, hosts }
     }
 
+    /// The greatest number of services that a request is sent to.
+    pub fn max_fan_out(&self) -> usize {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        routes.map(|route| route.fanout.width()).max().unwrap_or(1)
+    }
+
     /// The route of `host` with the longest prefix of `path`. Prefixes match only up to a
     /// slash, so `/one/` does not match `/onerous/`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -116,6 +122,14 @@
 }
 
 impl Fanout {
+    /// The number of services that one request is sent to.
+    pub fn width(&self) -> usize {
+        match self {
+            Self::One(_) => 1,
+            Self::All { shards, .. } => shards.len(),
+        }
+    }
+
     /// The services that a request is sent to; `fraction` is a random number from
     /// 0 to 1 that picks one by weight.
     pub fn services(&self, fraction: f64) -> Arc<[Service]> {
