site, replica: late entries, decay of observations and refunds

Entries of an earlier incarnation now change nothing. Drained incarnations were kept for ever; now ten minutes. - record: samples of slowness and of failure shared the time of the last sample, so that each undid the other's decay: a slowness of 10 was still 10 after six seconds of refusals. Each has its own time now. - budget: a refund went to the newest bucket, or was lost if that had no extra send. It goes to the bucket of the send.

--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -167,6 +167,6 @@
     /// Takes an extra send from the budget; returns `false` if it is used up.
     fn take_extra(&mut self, now: Time, service: Service) -> bool;
 
-    /// Refunds an extra send that never reached a server.
-    fn refund(&mut self, now: Time, service: Service);
+    /// Refunds an extra send that was taken at `taken` and never reached a server.
+    fn refund(&mut self, now: Time, service: Service, taken: Time);
 }
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -171,8 +171,11 @@
             progress.next_attempt_at =
                 self.plan.hedge_time(now, selection.expected_latency, used_fraction);
         }
-        let attempt =
-            self.attempts.push(AttemptState { service_index: index, extra, in_flight: true });
+        let attempt = self.attempts.push(AttemptState {
+            service_index: index,
+            extra_at: extra.then_some(now),
+            in_flight: true,
+        });
         actions.push(Action::Send { attempt, service, selection, purpose, extra, used_fraction });
     }
 
@@ -260,15 +263,15 @@
         actions: &mut Vec<Action<R>>,
     ) {
         let Some(index) = self.end_attempt(attempt) else { return };
-        let extra = self.attempts[attempt].extra;
+        let extra_at = self.attempts[attempt].extra_at;
         let service = self.plan.services[index];
         let progress = &mut self.progress[index];
         match completion {
             Completion::NotSent => {
                 progress.possible_runs -= 1;
                 progress.cause = Cause::NoServer;
-                if extra {
-                    balancer.refund(now, service);
+                if let Some(taken) = extra_at {
+                    balancer.refund(now, service, taken);
                 }
             }
             Completion::Refused => {
--- a/crates/request/gather/src/progress.rs
+++ b/crates/request/gather/src/progress.rs
@@ -64,7 +64,8 @@
 pub(crate) struct AttemptState {
     /// The index of its service in the plan.
     pub(crate) service_index: usize,
-    pub(crate) extra: bool,
+    /// When an extra send was taken from the budget for it; `None` for others.
+    pub(crate) extra_at: Option<Time>,
     pub(crate) in_flight: bool,
 }
 
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -42,7 +42,7 @@
         self.budget.take_extra(now, service)
     }
 
-    fn refund(&mut self, now: Time, service: Service) {
-        self.budget.refund(now, service);
+    fn refund(&mut self, now: Time, service: Service, taken: Time) {
+        self.budget.refund(now, service, taken);
     }
 }
--- a/crates/request/gather/tests/refusal_rounds.rs
+++ b/crates/request/gather/tests/refusal_rounds.rs
@@ -43,7 +43,7 @@
         true
     }
 
-    fn refund(&mut self, _now: Time, _service: Service) {}
+    fn refund(&mut self, _now: Time, _service: Service, _taken: Time) {}
 }
 
 /// The bound on the extra sends that one request may take from the shared budget.
--- a/crates/version/replica/src/budget.rs
+++ b/crates/version/replica/src/budget.rs
@@ -72,6 +72,12 @@
         &mut self.buckets[(self.newest % KEPT_BUCKETS as u64) as usize]
     }
 
+    /// The bucket of this number; `None` if it has expired.
+    fn bucket(&mut self, number: u64) -> Option<&mut Bucket> {
+        let kept = number <= self.newest && number + KEPT_BUCKETS as u64 > self.newest;
+        kept.then(|| &mut self.buckets[(number % KEPT_BUCKETS as u64) as usize])
+    }
+
     fn sum(&self) -> Bucket {
         let add = |sum: Bucket, bucket: &Bucket| Bucket {
             first: sum.first + bucket.first,
@@ -158,9 +164,11 @@
         true
     }
 
-    /// Refunds an extra send that never reached a server.
-    pub fn refund(&mut self, now: Time, service: Service) {
-        let bucket = self.window(now, service).newest();
-        bucket.extra = bucket.extra.saturating_sub(1);
+    /// Refunds an extra send that was taken at `taken` and never reached a server.
+    pub fn refund(&mut self, now: Time, service: Service, taken: Time) {
+        let number = self.bucket_number(taken);
+        if let Some(bucket) = self.window(now, service).bucket(number) {
+            bucket.extra = bucket.extra.saturating_sub(1);
+        }
     }
 }
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -40,8 +40,7 @@
 /// The maximum slowness that is recorded.
 const MAX_SLOWNESS: f64 = 40.0;
 /// The half-life of the recorded slowness, so that a slow server is tried again.
-/// The failure rate decays half as fast. Both share the time of the last sample, so
-/// each sample of one undoes the decay of the other.
+/// The failure rate decays half as fast.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(1500);
 /// How long a server is ejected at first, doubled with each further failure.
 const MIN_EJECTION: Duration = Duration::from_millis(200);
@@ -80,8 +79,10 @@
     others_load: Option<(Time, u32)>,
     slowness: f64,
     failure_rate: f64,
-    /// The time of the last sample of the slowness or the failure rate.
-    last_sample: Time,
+    /// The time of the last sample of the slowness.
+    slowness_at: Time,
+    /// The time of the last sample of the failure rate.
+    failure_at: Time,
     /// The number of consecutive failures.
     pub consecutive_failures: u32,
     /// The end of its ejection.
@@ -109,7 +110,8 @@
             others_load: None,
             slowness: 1.0,
             failure_rate: 0.0,
-            last_sample: Time::ZERO,
+            slowness_at: Time::ZERO,
+            failure_at: Time::ZERO,
             consecutive_failures: 0,
             ejected_until: Time::ZERO,
         }
@@ -147,14 +149,14 @@
     /// The ratio of its service time to the usual one.
     pub fn slowness(&self, now: Time) -> f64 {
         let half_lives =
-            now.since(self.last_sample).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+            now.since(self.slowness_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
         1.0 + (self.slowness - 1.0) * 0.5_f64.powf(half_lives)
     }
 
     /// The fraction of its requests that fail.
     pub fn failure_rate(&self, now: Time) -> f64 {
         let half_lives =
-            now.since(self.last_sample).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+            now.since(self.failure_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
         self.failure_rate * 0.5_f64.powf(half_lives / 2.0)
     }
 
@@ -162,13 +164,13 @@
         let known = self.slowness(now);
         let ratio = ratio.clamp(0.2, MAX_SLOWNESS);
         self.slowness = known + (ratio - known) * SLOWNESS_SAMPLE_WEIGHT;
-        self.last_sample = now;
+        self.slowness_at = now;
     }
 
     fn sample_failure(&mut self, now: Time, failed: f64) {
         let known = self.failure_rate(now);
         self.failure_rate = known + (failed - known) * FAILURE_SAMPLE_WEIGHT;
-        self.last_sample = now;
+        self.failure_at = now;
     }
 
     pub(crate) fn remove_in_flight(&mut self, started: Time) {
@@ -177,7 +179,8 @@
         }
     }
 
-    pub(crate) fn replied(&mut self, now: Time, ratio: f64, load: Option<Load>) {
+    /// Records a reply after `ratio` times the usual service time.
+    pub fn replied(&mut self, now: Time, ratio: f64, load: Option<Load>) {
         self.consecutive_failures = 0;
         self.ejected_until = Time::ZERO;
         self.sample_slowness(now, ratio);
@@ -197,7 +200,7 @@
     }
 
     /// Records that a request was abandoned after `ratio` times the usual service time.
-    pub(crate) fn abandoned(&mut self, now: Time, ratio: f64) {
+    pub fn abandoned(&mut self, now: Time, ratio: f64) {
         if ratio > self.slowness(now) {
             self.sample_slowness(now, ratio);
         }
@@ -220,7 +223,8 @@
         self.ejected_until = now + (MIN_EJECTION * (1 << doublings)).min(MAX_EJECTION);
     }
 
-    pub(crate) fn refused(&mut self, now: Time, load: Option<Load>) {
+    /// Records that the server did not run a request.
+    pub fn refused(&mut self, now: Time, load: Option<Load>) {
         self.update_load(now, load);
         self.sample_failure(now, 1.0);
     }
--- a/crates/version/replica/tests/extra_budget.rs
+++ b/crates/version/replica/tests/extra_budget.rs
@@ -111,6 +111,22 @@
     assert!(used <= 1.0, "{used} of the budget");
 }
 
+/// A request that waits for a connection may turn out to be unsent some buckets later.
+#[test]
+fn refund_goes_to_the_bucket_of_the_send() {
+    let mut budget = Budget::new(SETTINGS);
+    let taken = Time::from_millis(20_000);
+    assert!(budget.take_extra(taken, service()));
+    let later = Time::from_millis(21_300);
+    let used = budget.used_fraction(later, service());
+    budget.refund(later, service(), taken);
+    assert!(budget.used_fraction(later, service()) < used, "the refund was lost");
+    // It must not make room a second time when the bucket of the send expires.
+    assert!(budget.take_extra(later, service()));
+    let used = budget.used_fraction(later, service());
+    assert!(budget.used_fraction(Time::from_millis(30_800), service()) >= used);
+}
+
 #[test]
 fn unsent_request_is_refunded() {
     let mut budget = Budget::new(SETTINGS);
@@ -119,7 +135,7 @@
     while budget.take_extra(at, service()) {
         taken += 1;
     }
-    budget.refund(at, service());
+    budget.refund(at, service(), at);
     assert!(budget.take_extra(at, service()));
     assert!(!budget.take_extra(at, service()));
     assert!(taken > 30);
--- a/crates/version/site/src/fleet.rs
+++ b/crates/version/site/src/fleet.rs
@@ -2,7 +2,8 @@
 //! are gone.
 //!
 //! Invariants: an incarnation that was seen draining never gets requests again,
-//! even if an older entry arrives later. A missing entry is kept for
+//! even if an older entry arrives later. An entry of an earlier incarnation than the
+//! known one changes nothing. A missing entry is kept for
 //! [`Settings::removal_delay`], since it may have expired during an outage of the
 //! registry and be registered again; after that delay, the server is removed.
 
@@ -36,6 +37,9 @@
     }
 }
 
+/// How long a drained server is remembered; older entries arrive within seconds.
+const DRAINED_RETENTION: Duration = Duration::from_secs(600);
+
 /// A change of the servers that may be chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -63,8 +67,8 @@
 pub struct Fleet {
     settings: Settings,
     entries: HashMap<Arc<str>, Entry>,
-    /// The incarnations that were seen draining.
-    draining: HashSet<Incarnation>,
+    /// The latest incarnation of each id that was seen draining, and when.
+    drained: HashMap<Arc<str>, (u64, Time)>,
     /// When servers with missing entries are removed.
     removal_times: HashMap<Arc<str>, Time>,
     /// The end of the last outage of the registry.
@@ -105,7 +109,7 @@
     /// Applies one event; returns the change that it causes.
     pub fn apply(&mut self, now: Time, event: Event) -> Option<Change> {
         match event {
-            Event::Put(entry) => self.put(entry),
+            Event::Put(entry) => self.put(now, entry),
             Event::Removed(id) => self.removed(now, &id),
         }
     }
@@ -117,22 +121,23 @@
         let missing: Vec<Arc<str>> =
             self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         let mut changes: Vec<Change> =
-            list.into_iter().filter_map(|entry| self.put(entry)).collect();
+            list.into_iter().filter_map(|entry| self.put(now, entry)).collect();
         changes.extend(missing.iter().filter_map(|id| self.removed(now, id)));
         changes
     }
 
-    fn put(&mut self, entry: Entry) -> Option<Change> {
+    fn put(&mut self, now: Time, entry: Entry) -> Option<Change> {
         let id = &entry.incarnation.id;
+        let born = entry.incarnation.born;
+        if self.entries.get(id).is_some_and(|known| known.incarnation.born > born) {
+            return None;
+        }
         self.removal_times.remove(id);
-        if entry.draining || self.draining.contains(&entry.incarnation) {
-            self.draining.insert(entry.incarnation.clone());
-            return self.entries.remove(id).map(|old| Change::Leaving(old.incarnation));
+        if entry.draining {
+            self.drained.insert(Arc::clone(id), (born, now));
         }
-        if self.entries.get(id).is_some_and(|old| old.incarnation.born > entry.incarnation.born) {
-            // A delayed write of an earlier incarnation. A delayed draining entry is handled
-            // above, though, and removes the newer incarnation from the fleet.
-            return None;
+        if self.drained.get(id).is_some_and(|(drained, _)| *drained >= born) {
+            return self.entries.remove(id).map(|old| Change::Leaving(old.incarnation));
         }
         self.entries.insert(Arc::clone(id), entry.clone());
         Some(Change::Up(entry))
@@ -151,8 +156,15 @@
         Some(Change::Lapsing(entry.incarnation.clone()))
     }
 
-    /// Removes the servers whose entries have been missing for too long.
+    /// The number of drained servers that are remembered.
+    pub fn drained_count(&self) -> usize {
+        self.drained.len()
+    }
+
+    /// Removes the servers whose entries have been missing for too long, and forgets those
+    /// that drained long ago.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
+        self.drained.retain(|_, (_, at)| now.since(*at) < DRAINED_RETENTION);
         let due: Vec<Arc<str>> = self
             .removal_times
             .iter()
--- a/crates/version/site/tests/fleet_changes.rs
+++ b/crates/version/site/tests/fleet_changes.rs
@@ -126,3 +126,33 @@
     let changes = fleet.apply_list(at(1), vec![entry("b", 1)]);
     assert_eq!(changes, [Change::Up(entry("b", 1)), Change::Lapsing(incarnation("a", 1))]);
 }
+
+#[test]
+fn late_draining_entry_of_an_earlier_incarnation_is_ignored() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 2));
+    assert_eq!(put(&mut fleet, 1, draining("a", 1)), None);
+    assert_eq!(fleet.len(), 1);
+}
+
+#[test]
+fn late_write_of_an_earlier_incarnation_does_not_cancel_a_removal() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 2));
+    removed(&mut fleet, 100, "a");
+    put(&mut fleet, 200, entry("a", 1));
+    assert_eq!(fleet.expire(at(10_000)), [Change::Gone(incarnation("a", 2))]);
+}
+
+/// Servers come and go for as long as a node runs.
+#[test]
+fn drained_servers_are_forgotten_in_the_end() {
+    let mut fleet = Fleet::new(Settings::default());
+    for number in 0..1000 {
+        let id = format!("s{number}");
+        put(&mut fleet, number * 1000, draining(&id, 1));
+        fleet.expire(at(number * 1000));
+    }
+    assert_eq!(put(&mut fleet, 999_000, entry("s999", 1)), None);
+    assert!(fleet.drained_count() < 700, "{} are kept", fleet.drained_count());
+}
