gather: a scarce budget goes to the services without which there is no answer

Cause: in the pattern of replies lost by all servers of two shards, the budget of extra sends allows about half of the retries.

Change: once three quarters of the budget are used, a service that the answer may leave out, because enough others have answered or are in flight, gets no extra send, as hedges already don't.

--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -25,9 +25,9 @@
 use base::time::Time;
 use replica::table::Selection;
 
-/// The fraction of the budget that hedges may use: the rest is reserved for
-/// requests that a server refused or failed.
-const HEDGE_BUDGET_FRACTION: f64 = 0.75;
+/// The fraction of the budget that may be used to complete or speed up an answer; the rest
+/// is reserved for services without which there is no answer.
+const OPTIONAL_BUDGET_FRACTION: f64 = 0.75;
 /// How long a service waits for a budget that is used up or servers that are busy.
 const DEFER_DELAY: Duration = Duration::from_millis(15);
 
@@ -179,8 +179,8 @@
         actions.push(Action::Send { attempt, service, selection, purpose, extra, used_fraction });
     }
 
-    /// Takes an extra send from the budget; hedges leave the last fraction of it to
-    /// retries.
+    /// Takes an extra send from the budget; hedges, and retries of services that the answer
+    /// may leave out, leave the last fraction of it to others.
     fn take_extra(
         &self,
         now: Time,
@@ -189,9 +189,22 @@
         balancer: &mut dyn Balancer,
     ) -> bool {
         let service = self.plan.services[index];
-        let reserved = purpose == Purpose::Hedge
-            && balancer.used_fraction(now, service) > HEDGE_BUDGET_FRACTION;
-        !reserved && balancer.take_extra(now, service)
+        let is_scarce = balancer.used_fraction(now, service) > OPTIONAL_BUDGET_FRACTION;
+        if is_scarce && (purpose == Purpose::Hedge || self.is_optional(index)) {
+            return false;
+        }
+        balancer.take_extra(now, service)
+    }
+
+    /// Whether enough other services have answered or are expected to.
+    fn is_optional(&self, index: usize) -> bool {
+        let others = self.progress.iter().enumerate().filter(|(other, _)| *other != index);
+        let expected = others.filter(|(_, progress)| match progress.state {
+            State::Covered(_) => true,
+            State::Pending => progress.in_flight > 0,
+            State::Missing => false,
+        });
+        expected.count() >= self.plan.min_services
     }
 
     /// Schedules another attempt after a short delay, if it is due before the soft
--- a/crates/request/gather/tests/load_patterns.rs
+++ b/crates/request/gather/tests/load_patterns.rs
@@ -89,6 +89,21 @@
     );
 }
 
+/// The same pattern: the budget suffices for about half of the lost replies. It has to go to
+/// the requests that would get no answer, not to answers that are complete enough.
+#[test]
+fn scarce_budget_goes_to_requests_without_an_answer() {
+    let behavior =
+        |shard, _| if shard < 2 { Behavior::LosesReplies(0.4) } else { Behavior::Healthy };
+    // Without an answer are the requests that both shards lose twice.
+    let possible = 1.0 - f64::powi(0.4, 4);
+    for seed in 1..=4 {
+        let summary = simulate(Scenario { behavior, rate: 150.0, seed, ..Scenario::default() });
+        let fraction = summary.in_time_fraction() / possible;
+        assert!(fraction >= HEALTHY_TARGET, "seed {seed}: {fraction} of the possible answers");
+    }
+}
+
 #[test]
 fn shard_without_servers_is_left_out_at_once() {
     let behavior = |shard, _| if shard == 3 { Behavior::Down } else { Behavior::Healthy };
