entry: slow VMs are not handed out; fewer calls to the registry at restarts

Causes: a VM whose processor slows down (node_slow) sends its heartbeats in time, and lookups went on naming it.

Change: - pace: each node measures how long a fixed piece of work takes, against its usual time, and reports it. Twice the usual time in two samples running counts as slow: lookups reckon with the lower capacity, another node serves in its place, and a slow standby node does not take a place. - watcher: the nodes are listed first. A node that finds itself there does not register again, and one that comes after four others waits up to 1.2 s for the state from a watcher before it lists the servers itself.

--- a/crates/process/entry/src/heartbeat.rs
+++ b/crates/process/entry/src/heartbeat.rs
@@ -8,7 +8,11 @@
 
 use crate::members::HEARTBEAT_INTERVAL;
 use crate::members::Heartbeat;
+use crate::members::is_slow;
+use crate::pace;
+use crate::pace::Pace;
 use crate::process::Process;
+use crate::serving::Own;
 use crate::watcher;
 use base::time::Time;
 
@@ -23,11 +27,15 @@
 pub(crate) async fn send(process: Rc<Process>, socket: Rc<UdpSocket>) {
     let mut number = 0;
     let mut rate = Rate::default();
+    let mut pace = Pace::default();
     loop {
         let now = process.clock.now();
         process.members.borrow_mut().tick(now);
         rate.update(now, process.sends.get());
         process.sends_per_second.set(rate.per_second as u32);
+        pace::work();
+        pace.observe(process.clock.now().since(now));
+        process.slowness.set((pace.slowness() * 100.0) as u32);
         update_role(&process);
         send_to_targets(&process, &socket, number).await;
         number += 1;
@@ -64,12 +72,12 @@
     }
     let changed = {
         let members = process.members.borrow();
-        process.role.borrow_mut().update(
-            process.clock.now(),
-            &members,
-            process.is_ready(),
-            process.sends_per_second.get(),
-        )
+        let own = Own {
+            ready: process.is_ready(),
+            sends_per_second: process.sends_per_second.get(),
+            slow: is_slow(process.slowness.get()),
+        };
+        process.role.borrow_mut().update(process.clock.now(), &members, &own)
     };
     if changed {
         let serving = process.role.borrow().is_serving();
@@ -95,6 +103,7 @@
             serving,
             registry_answers: process.registry_answers.get(),
             sends_per_second: process.sends_per_second.get(),
+            slowness: process.slowness.get(),
             known: members.known_to_send(number),
         };
         (heartbeat, members.targets(process.clock.now(), number, serving, leaving))
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod feed;
 pub mod members;
+pub mod pace;
 pub mod placement;
 pub mod protocol;
 pub mod registry;
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -12,6 +12,7 @@
 use hyper::header;
 use hyper::http::HeaderValue;
 
+use crate::members::present_capacity;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::process::Process;
@@ -73,7 +74,7 @@
         .map(|node| Candidate {
             address: node.caller_address,
             distance: caller.distance(&node.data_centre),
-            capacity: node.capacity,
+            capacity: node.present_capacity(),
             sends_per_second: node.sends_per_second,
         })
         .collect();
@@ -82,7 +83,7 @@
         candidates.push(Candidate {
             address: settings.caller_address,
             distance: caller.distance(&settings.data_centre),
-            capacity: settings.capacity,
+            capacity: present_capacity(settings.capacity, process.slowness.get()),
             sends_per_second: process.sends_per_second.get(),
         });
     }
--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -72,10 +72,37 @@
     pub registry_answers: bool,
     /// The number of requests that it sends to upstream servers per second.
     pub sends_per_second: u32,
+    /// How slow its VM runs at present, in percent of its usual time for the same work.
+    pub slowness: u32,
     /// Some of the nodes that it knows.
     pub known: Vec<Peer>,
 }
 
+/// The slowness, in percent, from which a VM counts as slow.
+const MIN_SLOWNESS: u32 = 200;
+
+impl Heartbeat {
+    /// Whether its VM runs much slower than usual.
+    pub fn is_slow(&self) -> bool {
+        is_slow(self.slowness)
+    }
+
+    /// Its capacity at its present pace.
+    pub fn present_capacity(&self) -> u32 {
+        present_capacity(self.capacity, self.slowness)
+    }
+}
+
+/// Whether a VM that runs at `slowness` percent of its usual time counts as slow.
+pub fn is_slow(slowness: u32) -> bool {
+    slowness >= MIN_SLOWNESS
+}
+
+/// The capacity of a VM that runs at `slowness` percent of its usual time.
+pub fn present_capacity(capacity: u32, slowness: u32) -> u32 {
+    if is_slow(slowness) { (capacity * 100 / slowness).max(1) } else { capacity }
+}
+
 /// Whether callers may be sent to a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Status {
@@ -181,6 +208,14 @@
         self.peers.values()
     }
 
+    /// The number of nodes of this node's data centre that come before it in the order.
+    pub fn nodes_before_own(&self) -> usize {
+        let is_before = |peer: &&Peer| {
+            peer.data_centre == self.own.data_centre && peer.rank() < self.own.rank()
+        };
+        self.peers.values().filter(is_before).count()
+    }
+
     /// The addresses of all other nodes, those of this node's data centre first.
     pub fn addresses(&self) -> Vec<IpAddr> {
         let mut peers: Vec<&Peer> = self.peers.values().collect();
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -67,6 +67,10 @@
     pub(crate) sends: Cell<u64>,
     /// The same per second, on average over the last seconds.
     pub(crate) sends_per_second: Cell<u32>,
+    /// How slow this VM runs at present, in percent of its usual time for the same work.
+    pub(crate) slowness: Cell<u32>,
+    /// Whether the registry lists this node with its present data.
+    pub(crate) is_registered: Cell<bool>,
     /// Whether a list of the servers was received.
     pub(crate) has_server_list: Cell<bool>,
     /// Whether the process is shutting down.
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -31,7 +31,6 @@
 use crate::process::Process;
 use crate::process::StatsByRoute;
 use crate::protocol::Protocol;
-use crate::registry::Kind;
 use crate::registry::Registry;
 use crate::relay;
 use crate::serving::Role;
@@ -117,9 +116,7 @@
         let metrics = listen(address).await?;
         spawn_local(listener::accept(Rc::clone(&process), metrics, lookup::handle));
     }
-    spawn_local(watcher::run(Rc::clone(&process), Kind::Config));
-    spawn_local(watcher::run(Rc::clone(&process), Kind::Servers));
-    spawn_local(watcher::register_and_list_nodes(Rc::clone(&process)));
+    spawn_local(watcher::start(Rc::clone(&process)));
     spawn_local(watcher::expire_servers(Rc::clone(&process)));
     spawn_local(listener::accept(Rc::clone(&process), peers, relay::handle));
     spawn_local(relay::follow(Rc::clone(&process)));
@@ -202,6 +199,8 @@
         registry_answers: Cell::new(true),
         sends: Cell::new(0),
         sends_per_second: Cell::new(0),
+        slowness: Cell::new(100),
+        is_registered: Cell::new(false),
         has_server_list: Cell::new(false),
         leaving: Cell::new(false),
         shutdown_started: Notify::new(),
--- a/crates/process/entry/src/serving.rs
+++ b/crates/process/entry/src/serving.rs
@@ -3,7 +3,8 @@
 //! Each node decides for itself from the heartbeats of the serving nodes of its data
 //! centre and from the order of all its nodes: the larger VMs serve, as many as the load
 //! needs. If serving nodes are missing, the next nodes in that order take their place; if
-//! those don't, since they are down themselves, the ones after them do a step later.
+//! those don't, since they are down themselves, the ones after them do a step later. A node
+//! whose VM runs slowly does not count.
 //!
 //! Invariant: a data centre with a live node has a serving node within a bounded time,
 //! whichever nodes fail. A standby node answers requests too; only lookups don't name it.
@@ -27,6 +28,17 @@
 /// How long a node that is no longer needed goes on serving.
 const DEMOTION_DELAY: Duration = Duration::from_secs(3);
 
+/// This node's own state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Whether it has the registry's state.
+    pub ready: bool,
+    /// The number of requests that it sends to upstream servers per second.
+    pub sends_per_second: u32,
+    /// Whether its VM runs much slower than usual.
+    pub slow: bool,
+}
+
 /// Whether this node serves.
 #[derive(Debug, Default)]
 pub struct Role {
@@ -58,18 +70,19 @@
         self.serving
     }
 
-    /// Decides again; `ready` tells whether this node has the registry's state, and `own_sends` how many
-    /// requests it sends to upstream servers per second. Returns whether the role changed.
-    pub fn update(&mut self, now: Time, members: &Members, ready: bool, own_sends: u32) -> bool {
+    /// Decides again; returns whether the role changed.
+    pub fn update(&mut self, now: Time, members: &Members, own: &Own) -> bool {
         let before = self.serving;
-        let own = members.own();
-        let serving: Vec<&Heartbeat> =
-            members.elected(now).filter(|node| node.ready || !ready).collect();
-        let sends = own_sends + serving.iter().map(|node| node.sends_per_second).sum::<u32>();
+        let serving: Vec<&Heartbeat> = members
+            .elected(now)
+            .filter(|node| (node.ready || !own.ready) && !node.is_slow())
+            .collect();
+        let sends =
+            own.sends_per_second + serving.iter().map(|node| node.sends_per_second).sum::<u32>();
         let needed = f64::from(sends) * SEND_COST.as_secs_f64() * 1000.0 / MAX_UTILIZATION;
         if self.serving {
-            self.update_serving(now, own, &serving, needed);
-        } else {
+            self.update_serving(now, members.own(), &serving, needed);
+        } else if !own.slow || serving.is_empty() {
             self.update_standby(now, members, &serving, needed);
         }
         self.serving != before
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::members::Peer;
 use crate::process::Process;
@@ -42,9 +44,46 @@
 /// seconds of the end of an outage.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Finds the other nodes, then starts to watch the registry and registers this node.
+pub(crate) async fn start(process: Rc<Process>) {
+    let list = process.registry.list(Kind::Nodes, Freshness::Recent);
+    match timeout(FIRST_NODE_LIST_TIMEOUT, list).await {
+        Ok(Ok(batch)) => apply_batch(&process, Kind::Nodes, batch, true),
+        Ok(Err(error)) => {
+            log::info!(target: "members", error:% = error; "The nodes can't be listed at the start.");
+        }
+        Err(_) => log::info!(target: "members", "The nodes were not listed in time at the start."),
+    }
+    spawn_local(run(Rc::clone(&process), Kind::Config));
+    spawn_local(run(Rc::clone(&process), Kind::Servers));
+    spawn_local(register_and_list_nodes(process));
+}
+
+/// How long the first list of the nodes may delay the start.
+const FIRST_NODE_LIST_TIMEOUT: Duration = Duration::from_millis(300);
+/// The number of nodes of a data centre that take the first list from the registry at once.
+const FIRST_LISTERS: usize = 4;
+/// How long the others wait for a node that passes the state on.
+const STATE_WAIT: Duration = Duration::from_millis(1200);
+/// The interval between checks for it.
+const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Waits until the state of a kind was received from another node, if others come first in
+/// this node's data centre: when all start at once, few of them need to ask the registry.
+async fn wait_for_state(process: &Process, kind: Kind) {
+    if process.members.borrow().nodes_before_own() < FIRST_LISTERS {
+        return;
+    }
+    let until = process.clock.now() + STATE_WAIT;
+    while process.feeds.borrow().of(kind).revision().is_none() && process.clock.now() < until {
+        sleep(STATE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Watches the objects of a kind for as long as the process runs, while this node is a
-/// watcher. The first list is taken by every node.
-pub(crate) async fn run(process: Rc<Process>, kind: Kind) {
+/// watcher. A node that gets no state from others takes the first list itself.
+async fn run(process: Rc<Process>, kind: Kind) {
+    wait_for_state(&process, kind).await;
     let mut failures = 0;
     let mut compacted = false;
     loop {
@@ -130,6 +169,9 @@
                 changes.extend(process.fleet.borrow_mut().apply(now, fleet::Event::Put(entry)));
             }
             Event::Put(Item::Node(node)) => {
+                if node == own_node(process) {
+                    process.is_registered.set(true);
+                }
                 let Node { ip, data_centre, capacity, .. } = node;
                 process.members.borrow_mut().add_peer(Peer { ip, data_centre, capacity });
             }
@@ -250,38 +292,47 @@
     Shares { serving, serving_nodes, standby_nodes: all_nodes.saturating_sub(serving_nodes) }
 }
 
-/// Registers this node, then lists the others periodically.
-pub(crate) async fn register_and_list_nodes(process: Rc<Process>) {
+/// What this node registers.
+fn own_node(process: &Process) -> Node {
     let settings = &process.settings;
-    let node = Node {
+    Node {
         name: settings.name.clone(),
         ip: settings.ip,
         caller_address: settings.caller_address,
         data_centre: settings.data_centre.clone(),
         capacity: settings.capacity,
-    };
+    }
+}
+
+/// Registers this node unless it was listed with the same data, then lists the others
+/// periodically.
+async fn register_and_list_nodes(process: Rc<Process>) {
+    let node = own_node(&process);
     let mut failures = 0;
-    while let Err(error) = process.registry.register(&node).await {
+    while !process.is_registered.get()
+        && let Err(error) = process.registry.register(&node).await
+    {
         failures += 1;
         log::info!(target: "members", error:% = error, failures; "This node is not registered yet.");
         sleep(backoff(&process, failures)).await;
     }
-    let mut lists = 0;
+    // A node that was registered before its start has found the others already.
+    let mut lists = if process.is_registered.get() { FIRST_NODE_LISTS } else { 0 };
     let mut failures = 0;
     loop {
+        if lists >= FIRST_NODE_LISTS {
+            sleep(NODE_LIST_INTERVAL).await;
+            while process.source.get() != Source::Registry {
+                process.source_changed.notified().await;
+            }
+        }
         match process.registry.list(Kind::Nodes, Freshness::Recent).await {
             Ok(batch) => {
                 failures = 0;
                 lists += 1;
                 apply_batch(&process, Kind::Nodes, batch, true);
-                sleep(if lists < FIRST_NODE_LISTS {
-                    FIRST_NODE_LIST_INTERVAL
-                } else {
-                    NODE_LIST_INTERVAL
-                })
-                .await;
-                while lists >= FIRST_NODE_LISTS && process.source.get() != Source::Registry {
-                    process.source_changed.notified().await;
+                if lists < FIRST_NODE_LISTS {
+                    sleep(FIRST_NODE_LIST_INTERVAL).await;
                 }
             }
             Err(error) => {
--- a/crates/process/entry/tests/lookup_placement.rs
+++ b/crates/process/entry/tests/lookup_placement.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use entry::members;
 use entry::placement;
 use entry::placement::Candidate;
 use replica::record::Distance;
@@ -61,6 +62,19 @@
     assert_eq!(placement::choose(&nodes, 90).first().map(|a| numbers(&[*a])), Some(vec![4]));
 }
 
+/// Pattern: the VM of one node runs at a fifth of its speed for some seconds.
+#[test]
+fn slow_nodes_are_not_named() {
+    let slow = members::present_capacity(500, 460);
+    let nodes = [
+        node(1, Distance::DataCentre, 500),
+        node(2, Distance::DataCentre, slow),
+        node(3, Distance::DataCentre, 500),
+        node(4, Distance::Region, 500),
+    ];
+    assert_eq!(numbers(&placement::choose(&nodes, 90)), [1, 3, 4]);
+}
+
 #[test]
 fn no_nodes_give_no_addresses() {
     assert!(placement::choose(&[], 90).is_empty());
--- a/crates/process/entry/tests/registry_source.rs
+++ b/crates/process/entry/tests/registry_source.rs
@@ -24,6 +24,7 @@
 use entry::members::Peer;
 use entry::registry::Batch;
 use entry::registry::Event;
+use entry::serving::Own;
 use entry::serving::Role;
 use entry::source::Selector;
 use entry::source::Source;
@@ -171,7 +172,8 @@
         for node in self.nodes.iter_mut().filter(|node| node.runs(now)) {
             node.members.tick(now);
             let ready = node.feed.revision().is_some();
-            node.role.update(now, &node.members, ready, 0);
+            let own = Own { ready, sends_per_second: 0, slow: false };
+            node.role.update(now, &node.members, &own);
             if node.role.is_serving() && node.peer_cut_until <= now {
                 let registry_answers = node.registry_answers;
                 let beat = Heartbeat { registry_answers, ready, ..heartbeat(&node.peer, 1) };
--- a/crates/process/entry/tests/serving_set.rs
+++ b/crates/process/entry/tests/serving_set.rs
@@ -11,6 +11,8 @@
 use entry::members::Heartbeat;
 use entry::members::Members;
 use entry::members::Peer;
+use entry::members::is_slow;
+use entry::serving::Own;
 use entry::serving::Role;
 
 mod support;
@@ -22,6 +24,7 @@
     role: Role,
     alive: bool,
     sends: u32,
+    slowness: u32,
 }
 
 /// A data centre of `large` VMs of half a core and `small` ones of an eighth.
@@ -38,7 +41,8 @@
         let node = |own: &Peer| {
             let mut members = members(own);
             peers.iter().for_each(|peer| members.add_peer(peer.clone()));
-            Node { peer: own.clone(), members, role: Role::default(), alive: true, sends: 0 }
+            let (role, peer) = (Role::default(), own.clone());
+            Node { peer, members, role, alive: true, sends: 0, slowness: 100 }
         };
         Self { now: Time::ZERO, nodes: peers.iter().map(node).collect() }
     }
@@ -49,10 +53,13 @@
         let mut sent: Vec<(Peer, Heartbeat)> = Vec::new();
         for node in self.nodes.iter_mut().filter(|node| node.alive) {
             node.members.tick(self.now);
-            node.role.update(self.now, &node.members, true, node.sends);
+            let (sends_per_second, slow) = (node.sends, is_slow(node.slowness));
+            let own = Own { ready: true, sends_per_second, slow };
+            node.role.update(self.now, &node.members, &own);
             if node.role.is_serving() {
                 let sends_per_second = node.sends;
-                let beat = Heartbeat { sends_per_second, ..heartbeat(&node.peer, 1) };
+                let slowness = node.slowness;
+                let beat = Heartbeat { sends_per_second, slowness, ..heartbeat(&node.peer, 1) };
                 sent.push((node.peer.clone(), beat));
             }
         }
@@ -160,3 +167,27 @@
     data_centre.run(8000);
     assert_eq!(data_centre.serving(), [0, 1, 2]);
 }
+
+#[test]
+fn slow_standby_node_does_not_take_a_place() {
+    let mut data_centre = DataCentre::new(3, 46);
+    data_centre.run(4000);
+    data_centre.nodes[3].slowness = 460;
+    data_centre.nodes[0].alive = false;
+    data_centre.run(3600);
+    assert!(!data_centre.serving().contains(&3), "{:?}", data_centre.serving());
+    assert!(data_centre.serving().len() >= 3, "{:?}", data_centre.serving());
+}
+
+/// A slow VM is not dead, but another node serves in its place until it recovers.
+#[test]
+fn slow_node_is_replaced_until_it_recovers() {
+    let mut data_centre = DataCentre::new(3, 46);
+    data_centre.run(4000);
+    data_centre.nodes[1].slowness = 460;
+    data_centre.run(1200);
+    assert_eq!(data_centre.serving(), [0, 1, 2, 3]);
+    data_centre.nodes[1].slowness = 100;
+    data_centre.run(6000);
+    assert_eq!(data_centre.serving(), [0, 1, 2]);
+}
--- a/crates/process/entry/tests/support/mod.rs
+++ b/crates/process/entry/tests/support/mod.rs
@@ -60,6 +60,7 @@
         serving: true,
         registry_answers: true,
         sends_per_second: 0,
+        slowness: 100,
         known: Vec::new(),
     }
 }
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -25,9 +25,12 @@
 use base::time::Time;
 use replica::table::Selection;
 
-/// The fraction of the budget that may be used to complete or speed up an answer; the rest
-/// is reserved for services without which there is no answer.
-const OPTIONAL_BUDGET_FRACTION: f64 = 0.75;
+/// The fraction of the budget that hedges may use: the rest is reserved for requests that a
+/// server refused or failed.
+const HEDGE_BUDGET_FRACTION: f64 = 0.75;
+/// The fraction of the budget that retries may use to complete an answer: the rest is reserved
+/// for services without which there is no answer.
+const OPTIONAL_RETRY_BUDGET_FRACTION: f64 = 0.9;
 /// How long a service waits for a budget that is used up or servers that are busy.
 const DEFER_DELAY: Duration = Duration::from_millis(15);
 
@@ -180,7 +183,7 @@
     }
 
     /// Takes an extra send from the budget; hedges, and retries of services that the answer
-    /// may leave out, leave the last fraction of it to others.
+    /// may leave out, leave a part of it to others.
     fn take_extra(
         &self,
         now: Time,
@@ -189,11 +192,12 @@
         balancer: &mut dyn Balancer,
     ) -> bool {
         let service = self.plan.services[index];
-        let is_scarce = balancer.used_fraction(now, service) > OPTIONAL_BUDGET_FRACTION;
-        if is_scarce && (purpose == Purpose::Hedge || self.is_optional(index)) {
-            return false;
-        }
-        balancer.take_extra(now, service)
+        let used = balancer.used_fraction(now, service);
+        let is_reserved = match purpose {
+            Purpose::Hedge => used > HEDGE_BUDGET_FRACTION,
+            _ => used > OPTIONAL_RETRY_BUDGET_FRACTION && self.is_optional(index),
+        };
+        !is_reserved && balancer.take_extra(now, service)
     }
 
     /// Whether enough other services have answered or are expected to.
