gather: hedges wait for the node's own work on a wide request

Change: a plan has the time that the node itself needs for the request (80 us a service, by the capacity of its VM), and a hedge is sent that much later, at most 0.42 of the time to the objective, as before.

--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -20,11 +20,13 @@
 use crate::drive;
 use crate::exchange::CallerRequest;
 use crate::exchange::Reply;
+use crate::members::present_capacity;
 use crate::process::Process;
 use crate::process::RouteStats;
 use crate::read;
 use crate::read::AdmittedRequest;
 use crate::read::Rejection;
+use crate::serving::SEND_COST;
 use crate::trace::Trace;
 use base::time::Time;
 use gather::event;
@@ -114,6 +116,8 @@
         site::router::Fanout::All { min_shards, .. } => *min_shards,
         site::router::Fanout::One(_) => services.len(),
     };
+    let capacity = present_capacity(process.settings.capacity, process.slowness.get()).max(1);
+    let own_work = SEND_COST * services.len() as u32 * 1000 / capacity;
     let time_limit = caller_timeout.min(route.timeout).saturating_sub(DEADLINE_MARGIN);
     // Callers are assumed to use one timeout per route and to shorten it in a retry by the
     // time since their first attempt. The longest timeout seen on the route is then that of
@@ -130,6 +134,7 @@
         soft_deadline: arrived + left,
         deadline: arrived + time_limit,
         usual_service_time,
+        own_work,
     }
 }
 
--- a/crates/request/gather/src/plan.rs
+++ b/crates/request/gather/src/plan.rs
@@ -27,6 +27,9 @@
     pub deadline: Time,
     /// The usual service time of the route's requests.
     pub usual_service_time: Duration,
+    /// The time that this node itself takes to send the request to all services and to read
+    /// their replies.
+    pub own_work: Duration,
 }
 
 /// A hedge is sent after this multiple of the expected latency of the latest attempt,
@@ -35,8 +38,8 @@
 /// Added to the factor when the budget is used up, so that the remaining hedges go
 /// to the slowest requests.
 const HEDGE_FACTOR_INCREASE: f64 = 1.6;
-/// Added to the delay of a hedge: a node and a server may lose this time to other
-/// work.
+/// Added to the delay of a hedge: a node and a server may lose this time to work on other
+/// requests.
 const HEDGE_DELAY_MARGIN: Duration = Duration::from_millis(3);
 /// The maximum delay of a hedge, as a fraction of the time to the soft deadline: the
 /// rest must suffice for the network time to another region and the service time.
@@ -70,12 +73,12 @@
     }
 
     /// When to hedge an attempt that is made `now` with the latency
-    /// `expected_latency`; `used_fraction` is the fraction of the budget that
+    /// `expected_latency`, apart from this node's own work; `used_fraction` is the fraction of the budget that
     /// would be used after one more send.
     pub fn hedge_time(&self, now: Time, expected_latency: Duration, used_fraction: f64) -> Time {
         let used = used_fraction.clamp(0.0, 1.0);
         let factor = HEDGE_FACTOR + HEDGE_FACTOR_INCREASE * used * used;
-        let usual = now + expected_latency.mul_f64(factor) + HEDGE_DELAY_MARGIN;
+        let usual = now + expected_latency.mul_f64(factor) + self.own_work + HEDGE_DELAY_MARGIN;
         if self.soft_deadline <= now {
             return usual;
         }
--- a/crates/request/gather/tests/queue_bounds.rs
+++ b/crates/request/gather/tests/queue_bounds.rs
@@ -19,6 +19,7 @@
         soft_deadline: NOW + Duration::from_millis(soft_deadline_ms),
         deadline: NOW + Duration::from_millis(deadline_ms),
         usual_service_time: Duration::from_millis(10),
+        own_work: Duration::ZERO,
     }
 }
 
--- a/crates/request/gather/tests/refusal_rounds.rs
+++ b/crates/request/gather/tests/refusal_rounds.rs
@@ -60,6 +60,7 @@
         soft_deadline: start + Duration::from_secs(2),
         deadline: start + Duration::from_secs(8),
         usual_service_time: Duration::from_millis(10),
+        own_work: Duration::ZERO,
     };
     let mut machine: Machine<()> = Machine::new(plan);
     let mut balancer = IdleServers { extra: 0 };
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -344,6 +344,7 @@
             soft_deadline: now + self.scenario.objective,
             deadline: now + self.scenario.timeout,
             usual_service_time: self.nodes[node].service_time.mean(),
+            own_work: Duration::ZERO,
         };
         self.requests.push(Request {
             machine: Machine::new(plan),
