--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -79,7 +79,7 @@
 }
 
 /// The slowness, in percent, from which a VM counts as slow.
-const MIN_SLOWNESS: u32 = 200;
+const MIN_SLOWNESS: u32 = 350;
 
 impl Heartbeat {
     /// Whether its VM runs much slower than usual.
--- a/crates/process/entry/src/pace.rs
+++ b/crates/process/entry/src/pace.rs
@@ -12,6 +12,8 @@
 /// The factor by which the baseline rises with each sample, so that a lasting change of the
 /// VM becomes the usual pace within minutes.
 const BASELINE_GROWTH: f64 = 1.002;
+/// The number of samples in a row that must be long for a VM to count as slow.
+const SAMPLES: usize = 3;
 /// The slowness that is reported at most.
 const MAX_SLOWNESS: f64 = 100.0;
 
@@ -20,9 +22,9 @@
 pub struct Pace {
     /// The usual time of the work in seconds; `None` before the first sample.
     baseline: Option<f64>,
-    /// The last two samples in seconds. One long sample alone is no slowness: the process may
-    /// have been interrupted.
-    recent: [f64; 2],
+    /// The last samples in seconds. Some long samples among shorter ones are no slowness: the
+    /// processor was busy with other work.
+    recent: [f64; SAMPLES],
 }
 
 impl Pace {
@@ -31,19 +33,20 @@
         let sample = took.as_secs_f64();
         self.baseline = Some(match self.baseline {
             None => {
-                self.recent = [sample; 2];
+                self.recent = [sample; SAMPLES];
                 sample
             }
             Some(baseline) => (baseline * BASELINE_GROWTH).min(sample),
         });
-        self.recent = [self.recent[1], sample];
+        self.recent.rotate_left(1);
+        self.recent[SAMPLES - 1] = sample;
     }
 
     /// The ratio of the present time of the work to the usual one, at least 1.
     pub fn slowness(&self) -> f64 {
         let Some(baseline) = self.baseline.filter(|baseline| *baseline > 0.0) else { return 1.0 };
-        let [older, newer] = self.recent;
-        (older.min(newer) / baseline).clamp(1.0, MAX_SLOWNESS)
+        let shortest = self.recent.iter().copied().fold(f64::INFINITY, f64::min);
+        (shortest / baseline).clamp(1.0, MAX_SLOWNESS)
     }
 }
 
