entry: followers ask the registry themselves when their state is old

Change: an answer to a poll says how long ago the registry confirmed the state. A follower whose state was not confirmed for 4 s, by either watcher, asks the registry itself, and again 2.5 s after a call that failed, up to 0.5 s later at random.

--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -24,6 +24,7 @@
 use crate::source::Source;
 use crate::upstream::Pool;
 use base::entity::Server;
+use base::time::Time;
 use replica::budget::Budget;
 use replica::service_time::Estimator;
 use replica::table::Table;
@@ -61,6 +62,9 @@
     pub(crate) source: Cell<Source>,
     /// Notified when [`Self::source`] is the registry.
     pub(crate) source_changed: Notify,
+    /// When the registry last confirmed the state of a kind, to this node or to the one that it
+    /// follows.
+    pub(crate) confirmed_at: RefCell<HashMap<Kind, Time>>,
     /// Whether the last call to the registry succeeded.
     pub(crate) registry_answers: Cell<bool>,
     /// The number of requests that were sent to upstream servers.
@@ -89,6 +93,18 @@
         !self.leaving.get() && self.has_server_list.get() && self.router.borrow().is_some()
     }
 
+    /// When the registry last confirmed the state of a kind.
+    pub(crate) fn confirmed_at(&self, kind: Kind) -> Time {
+        self.confirmed_at.borrow().get(&kind).copied().unwrap_or(Time::ZERO)
+    }
+
+    /// Records that the registry confirmed the state of a kind at `at`.
+    pub(crate) fn confirm(&self, kind: Kind, at: Time) {
+        let mut confirmed_at = self.confirmed_at.borrow_mut();
+        let known = confirmed_at.entry(kind).or_insert(at);
+        *known = at.max(*known);
+    }
+
     /// The greatest number of services that one request is sent to.
     pub(crate) fn max_fan_out(&self) -> usize {
         self.router.borrow().as_ref().map_or(1, |router| router.max_fan_out())
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -91,6 +91,9 @@
 struct State {
     /// What the asking node misses.
     updates: Vec<Update>,
+    /// How long ago the registry confirmed the answering node's state of each kind, in
+    /// milliseconds, in the order of [`KINDS`].
+    ages_ms: [u64; 2],
     /// How long ago the answering node saw the last outage of the registry end, in
     /// milliseconds.
     outage_age_ms: Option<u64>,
@@ -141,7 +144,8 @@
     let now = process.clock.now();
     let outage_end = process.fleet.borrow().outage_end();
     let outage_age_ms = outage_end.map(|end| now.since(end).as_millis() as u64);
-    match rmp_serde::to_vec(&State { updates, outage_age_ms }) {
+    let ages_ms = KINDS.map(|kind| now.since(process.confirmed_at(kind)).as_millis() as u64);
+    match rmp_serde::to_vec(&State { updates, ages_ms, outage_age_ms }) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
             log::error!(target: "members", error:% = error; "The registry's state can't be encoded.");
@@ -272,9 +276,13 @@
         let now = process.clock.now();
         process.fleet.borrow_mut().outage_ended(now.before(Duration::from_millis(age)));
     }
+    let now = process.clock.now();
     for update in state.updates {
         watcher::apply_batch(process, update.kind, update.batch, update.is_list);
     }
+    for (kind, age) in KINDS.into_iter().zip(state.ages_ms) {
+        process.confirm(kind, now.before(Duration::from_millis(age)));
+    }
 }
 
 /// Asks nodes one after another for their state, nearest first, and applies the first answer:
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -196,6 +196,7 @@
         selector: RefCell::new(Selector::default()),
         source: Cell::new(Source::Registry),
         source_changed: Notify::new(),
+        confirmed_at: RefCell::default(),
         registry_answers: Cell::new(true),
         sends: Cell::new(0),
         sends_per_second: Cell::new(0),
--- a/crates/process/entry/src/source.rs
+++ b/crates/process/entry/src/source.rs
@@ -6,6 +6,9 @@
 //! one poll at most. A serving node that reports that the registry does not answer watches
 //! only if no other one can.
 //!
+//! A follower that has heard nothing confirmed by the registry for a while asks it itself: all
+//! watchers of its data centre may be cut off at once.
+//!
 //! Invariant: a node that has no live watcher to follow watches the registry itself, once
 //! the time for discovery after its start is over.
 
@@ -33,6 +36,23 @@
 /// How long a watcher that did not answer is not asked again.
 const SUSPICION_TIME: Duration = Duration::from_secs(3);
 
+/// The age of a state, counted from the registry's last answer to a watcher, from which on a
+/// follower asks the registry itself. Longer than a watch waits for a change.
+const MAX_AGE: Duration = Duration::from_millis(4000);
+/// The delay of a follower's next call of its own after one that failed.
+const OWN_CALL_INTERVAL: Duration = Duration::from_millis(2500);
+/// The maximum that is added at random to both, so that the followers don't call at the same
+/// time.
+const MAX_JITTER: Duration = Duration::from_millis(500);
+
+/// When a follower asks the registry itself, if it hears nothing newer: its state was confirmed
+/// at `confirmed_at`, and its last own call failed at `failed_at`. `jitter` is from 0 to 1.
+pub fn own_call_at(confirmed_at: Time, failed_at: Option<Time>, jitter: f64) -> Time {
+    let due = confirmed_at + MAX_AGE;
+    let due = failed_at.map_or(due, |failed_at| due.max(failed_at + OWN_CALL_INTERVAL));
+    due + MAX_JITTER.mul_f64(jitter)
+}
+
 /// Chooses a node's source.
 #[derive(Debug, Default)]
 pub struct Selector {
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::members::Peer;
 use crate::process::Process;
@@ -23,6 +24,7 @@
 use crate::registry::Node;
 use crate::relay;
 use crate::shares::Shares;
+use crate::source;
 use crate::source::Source;
 use site::config::Config;
 use site::fleet;
@@ -90,7 +92,7 @@
         let revision = process.feeds.borrow().of(kind).revision();
         if revision.is_some() && process.source.get() != Source::Registry {
             failures = 0;
-            process.source_changed.notified().await;
+            follow(&process, kind).await;
             continue;
         }
         let call = match revision {
@@ -111,6 +113,7 @@
                     on_outage_ended(&process, kind, failures);
                 }
                 failures = 0;
+                process.confirm(kind, process.clock.now());
                 let changed = !batch.events.is_empty();
                 let is_list = revision.is_none() || compacted;
                 compacted = false;
@@ -137,6 +140,51 @@
     }
 }
 
+/// Waits while this node follows a watcher, until it is one itself. Meanwhile asks the registry
+/// itself whenever no watcher has had the state of the kind confirmed for too long.
+async fn follow(process: &Process, kind: Kind) {
+    let mut failed_at = None;
+    loop {
+        let jitter = process.table.borrow_mut().random_fraction();
+        let due = source::own_call_at(process.confirmed_at(kind), failed_at, jitter);
+        let changed = process.source_changed.notified();
+        if timeout_at(process.clock.instant(due), changed).await.is_ok() {
+            return;
+        }
+        let Some(revision) = process.feeds.borrow().of(kind).revision() else { return };
+        // A watcher may have confirmed the state while this node waited.
+        if source::own_call_at(process.confirmed_at(kind), failed_at, 0.0) > process.clock.now() {
+            continue;
+        }
+        let call = process.registry.watch(kind, revision, OWN_CALL_WAIT).await;
+        process.metrics.record_registry_call(if call.is_ok() { "answered" } else { "failed" });
+        match call {
+            Ok(batch) => {
+                log::info!(target: "registry", kind:? = kind, revision = batch.revision; "The watchers' state is old; the registry was asked directly.");
+                process.confirm(kind, process.clock.now());
+                apply_batch(process, kind, batch, false);
+            }
+            Err(Error::Compacted) => match process.registry.list(kind, Freshness::Current).await {
+                Ok(batch) => {
+                    process.confirm(kind, process.clock.now());
+                    apply_batch(process, kind, batch, true);
+                }
+                Err(error) => {
+                    log::debug!(target: "registry", kind:? = kind, error:% = error; "The registry can't be listed.");
+                    failed_at = Some(process.clock.now());
+                }
+            },
+            Err(error) => {
+                log::debug!(target: "registry", kind:? = kind, error:% = error; "The registry does not answer either.");
+                failed_at = Some(process.clock.now());
+            }
+        }
+    }
+}
+
+/// How long a follower's own call waits for a change.
+const OWN_CALL_WAIT: Duration = Duration::from_millis(1);
+
 fn on_outage_ended(process: &Process, kind: Kind, failures: u32) {
     log::info!(target: "registry", kind:? = kind, failures; "The registry answers again.");
     process.fleet.borrow_mut().outage_ended(process.clock.now());
--- a/crates/process/entry/tests/registry_source.rs
+++ b/crates/process/entry/tests/registry_source.rs
@@ -26,6 +26,7 @@
 use entry::registry::Event;
 use entry::serving::Own;
 use entry::serving::Role;
+use entry::source;
 use entry::source::Selector;
 use entry::source::Source;
 
@@ -364,3 +365,18 @@
         assert_eq!(peers.iter().filter(|own| watches(own)).count(), 2, "{count} nodes");
     }
 }
+
+/// Pattern: the registry turns all watchers of a data centre away, one after the other, each of
+/// which needs seconds to notice. A follower that the registry serves must not wait for them.
+#[test]
+fn follower_of_watchers_that_are_cut_off_asks_the_registry() {
+    let confirmed = Time::from_millis(10_000);
+    let earliest = source::own_call_at(confirmed, None, 0.0);
+    let latest = source::own_call_at(confirmed, None, 1.0);
+    assert!(latest < confirmed + BOUND, "too late for a change just after the confirmation");
+    // A watch without changes is confirmed once in its wait: no call is made meanwhile.
+    assert!(earliest > confirmed + Duration::from_millis(2500));
+    // In an outage of the registry, each follower makes few calls.
+    let failed = earliest;
+    assert!(source::own_call_at(confirmed, Some(failed), 0.0) >= failed + Duration::from_secs(2));
+}
