entry, platform: the registry's era and revision in the log and the metrics

The hypotheses of the incident can't be told apart by the log: it is silent when a watch goes on after a return from a copy, and an ignored list is logged at debug only. Now each answer's era is read; a change of it, and a list that is ignored, are one line each with the revisions; gauges show the era, the revision of each kind and the version in use. No decision uses any of it yet. The stand-in store can return from a copy.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -1,5 +1,6 @@
 //! The store of the users' platform at its published protocol: objects by kind
-//! and name, lists, long-poll watches, and failures that tests switch on.
+//! and name, lists, long-poll watches, and failures that tests switch on, among them a
+//! return from a copy.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -11,6 +12,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::http::HeaderValue;
 use parking_lot::Mutex;
 use serde_json::Value;
 use serde_json::json;
@@ -34,8 +36,31 @@
     ResetsConnections,
 }
 
+/// What the store's answers state as its era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EraHeader {
+    /// The era.
+    #[default]
+    Present,
+    /// Nothing.
+    Absent,
+    /// Text that is not a number.
+    Unreadable,
+    /// The era before the present one.
+    Earlier,
+}
+
+/// The content of the store at one moment, from which it can return.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    revision: u64,
+    current: BTreeMap<(String, String), Value>,
+}
+
 #[derive(Default)]
 struct Objects {
+    era: u64,
+    era_header: EraHeader,
     revision: u64,
     /// The oldest revision from which a watch can start.
     oldest: u64,
@@ -73,12 +98,19 @@
     pub fn start() -> io::Result<Self> {
         let listener = http::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = listener.local_addr()?;
-        let objects = Objects { revision: 1, ..Objects::default() };
+        let objects = Objects { era: 1, revision: 1, ..Objects::default() };
         let shared = Shared { objects: Mutex::new(objects), changed: watch::Sender::new(1) };
         let shared = Arc::new(shared);
         let stop = CancellationToken::new();
         let handler_state = Arc::clone(&shared);
-        let answer = move |request| answer(Arc::clone(&handler_state), request);
+        let answer = move |request| {
+            let state = Arc::clone(&handler_state);
+            async move {
+                let mut reply = answer(Arc::clone(&state), request).await?;
+                state.objects.lock().state_era(&mut reply);
+                Ok(reply)
+            }
+        };
         tokio::spawn(http::serve(listener, stop.clone(), answer));
         Ok(Self { shared, address, stop })
     }
@@ -113,6 +145,30 @@
         self.shared.record(&mut objects, kind, json!({ "object": object, "deleted": true }));
     }
 
+    /// A copy of the present content.
+    pub fn backup(&self) -> Backup {
+        let objects = self.shared.objects.lock();
+        Backup { revision: objects.revision, current: objects.current.clone() }
+    }
+
+    /// Returns from a copy: what was written since then is lost, the revisions after the copy's
+    /// are given out again, and the era rises by one. Pending watches are cut.
+    pub fn restore(&self, backup: &Backup) {
+        let mut objects = self.shared.objects.lock();
+        objects.era += 1;
+        objects.revision = backup.revision;
+        objects.current = backup.current.clone();
+        objects.history.retain(|(revision, _, _)| *revision <= backup.revision);
+        objects.oldest = objects.oldest.min(backup.revision);
+        drop(objects);
+        self.shared.changed.send_modify(|_| {});
+    }
+
+    /// Changes what the answers state as the era.
+    pub fn set_era_header(&self, header: EraHeader) {
+        self.shared.objects.lock().era_header = header;
+    }
+
     /// Drops the history: watches from earlier revisions are answered with 410.
     pub fn compact(&self) {
         let mut objects = self.shared.objects.lock();
@@ -121,6 +177,19 @@
     }
 }
 
+impl Objects {
+    /// Adds the header with the era to an answer.
+    fn state_era(&self, reply: &mut Reply) {
+        let value = match self.era_header {
+            EraHeader::Present => HeaderValue::from(self.era),
+            EraHeader::Earlier => HeaderValue::from(self.era.saturating_sub(1)),
+            EraHeader::Unreadable => HeaderValue::from_static("the newest"),
+            EraHeader::Absent => return,
+        };
+        reply.headers_mut().insert("store-era", value);
+    }
+}
+
 impl Shared {
     fn put(&self, kind: &str, name: &str, spec: &Value) -> Value {
         let mut objects = self.objects.lock();
@@ -198,6 +267,7 @@
 
 async fn changes(shared: &Shared, kind: &str, since: u64, wait: Duration) -> io::Result<Reply> {
     let mut changed = shared.changed.subscribe();
+    let era = shared.objects.lock().era;
     let end = tokio::time::Instant::now() + wait;
     loop {
         {
@@ -210,7 +280,10 @@
                     return Err(io::ErrorKind::ConnectionReset.into());
                 }
             }
-            if since < objects.oldest {
+            if objects.era != era {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            if since < objects.oldest || since > objects.revision {
                 return Ok(http::text(StatusCode::GONE, ""));
             }
             let later = objects.history.iter();
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkError;
@@ -15,6 +16,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::registry::Kind;
+
 /// Upper bounds of the latency buckets; objectives are between 80 and 600 ms.
 const LATENCY_BOUNDS_MS: [f64; 12] =
     [10.0, 20.0, 40.0, 60.0, 80.0, 120.0, 200.0, 400.0, 600.0, 1000.0, 2500.0, 5000.0];
@@ -32,6 +35,10 @@
     extra_sends: Counter<u64>,
     registry_calls: Counter<u64>,
     peer_polls: Counter<u64>,
+    registry_era: Gauge<u64>,
+    registry_revision: Gauge<u64>,
+    config_version: Gauge<u64>,
+    ignored_batches: Counter<u64>,
 }
 
 impl Metrics {
@@ -53,6 +60,10 @@
             extra_sends: meter.u64_counter("heatherseam_extra_sends").build(),
             peer_polls: meter.u64_counter("heatherseam_peer_polls").build(),
             registry_calls: meter.u64_counter("heatherseam_registry_calls").build(),
+            registry_era: meter.u64_gauge("heatherseam_registry_era").build(),
+            registry_revision: meter.u64_gauge("heatherseam_registry_revision").build(),
+            config_version: meter.u64_gauge("heatherseam_version_in_use").build(),
+            ignored_batches: meter.u64_counter("heatherseam_registry_ignored").build(),
             _provider: provider,
         })
     }
@@ -94,6 +105,26 @@
         self.peer_polls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records the registry's newest era.
+    pub(crate) fn record_era(&self, era: u64) {
+        self.registry_era.record(era, &[]);
+    }
+
+    /// Records the revision of the state of a kind.
+    pub(crate) fn record_revision(&self, kind: Kind, revision: u64) {
+        self.registry_revision.record(revision, &[KeyValue::new("kind", kind.name())]);
+    }
+
+    /// Records the version of the configuration in use.
+    pub(crate) fn record_config_version(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// Counts a list or changes that were older than the state of their kind.
+    pub(crate) fn record_ignored(&self, kind: Kind) {
+        self.ignored_batches.add(1, &[KeyValue::new("kind", kind.name())]);
+    }
+
     /// All metrics in the text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = Vec::new();
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -11,11 +11,15 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::era;
+use crate::era::Notice;
 use crate::feed::Feed;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
+use crate::registry::Batch;
 use crate::registry::Kind;
+use crate::registry::Reading;
 use crate::registry::Registry;
 use crate::serving::Role;
 use crate::settings::Settings;
@@ -53,6 +57,8 @@
     pub(crate) role: RefCell<Role>,
     /// This node's present shares of the limits.
     pub(crate) shares: Cell<Shares>,
+    /// The registry's newest era.
+    pub(crate) era: RefCell<era::Tracker>,
     /// The revisions and recent changes of the registry's state.
     pub(crate) feeds: RefCell<Feeds>,
     /// Notified when [`Self::feeds`] has changes.
@@ -105,6 +111,24 @@
         *known = at.max(*known);
     }
 
+    /// Takes note of the era of the registry's answer to a call for `kind`, and logs what it
+    /// says.
+    pub(crate) fn date(&self, kind: Kind, reading: Reading) -> Batch {
+        let Reading { events, era, revision } = reading;
+        let notice = self.era.borrow_mut().observe(era);
+        match notice {
+            Notice::Risen { before } => {
+                self.metrics.record_era(self.era.borrow().newest());
+                log::info!(target: "registry", kind:? = kind, era, before, revision, known = self.feeds.borrow().of(kind).revision(); "The registry's era has risen: it returned from a copy, unless this is the first era seen.");
+            }
+            Notice::Earlier | Notice::Absent => {
+                log::debug!(target: "registry", kind:? = kind, era, newest = self.era.borrow().newest(); "An answer of the registry has an earlier era, or none.");
+            }
+            Notice::Nothing => {}
+        }
+        Batch { events, revision }
+    }
+
     /// The greatest number of services that one request is sent to.
     pub(crate) fn max_fan_out(&self) -> usize {
         self.router.borrow().as_ref().map_or(1, |router| router.max_fan_out())
--- a/crates/process/entry/src/registry.rs
+++ b/crates/process/entry/src/registry.rs
@@ -28,6 +28,17 @@
     Nodes,
 }
 
+impl Kind {
+    /// The name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Servers => "servers",
+            Self::Nodes => "nodes",
+        }
+    }
+}
+
 /// The registered data of an entry node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Node {
@@ -79,6 +90,17 @@
     pub revision: u64,
 }
 
+/// The registry's answer to a list or a watch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reading {
+    /// The objects or changes.
+    pub events: Vec<Event>,
+    /// The registry's era, if the answer states one.
+    pub era: Option<u64>,
+    /// The revision that the next watch continues from.
+    pub revision: u64,
+}
+
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -95,6 +117,9 @@
     /// The call was sent, but no complete answer was received.
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// The registry returned from a copy while a list of several pages was read.
+    #[error("the registry returned from a copy between two pages of a list")]
+    EraChanged,
     /// The answer can't be parsed.
     #[error("malformed answer: {0}")]
     Malformed(String),
@@ -113,11 +138,11 @@
 pub trait Registry {
     /// Lists all objects of a kind. The revision is at most that of the oldest object of the
     /// list, so that a watch from there misses no change.
-    fn list(&self, kind: Kind, freshness: Freshness) -> Pending<'_, Batch>;
+    fn list(&self, kind: Kind, freshness: Freshness) -> Pending<'_, Reading>;
 
     /// Returns the changes of a kind since `revision`; waits up to `wait` if there are
     /// none yet.
-    fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> Pending<'_, Batch>;
+    fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> Pending<'_, Reading>;
 
     /// Registers an entry node; does nothing if it is registered with the same data.
     fn register<'a>(&'a self, node: &'a Node) -> Pending<'a, ()>;
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -20,6 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::era;
 use crate::front;
 use crate::heartbeat;
 use crate::listener;
@@ -191,6 +192,7 @@
         members: RefCell::new(members),
         role: RefCell::new(Role::default()),
         shares: Cell::new(shares),
+        era: RefCell::new(era::Tracker::default()),
         feeds: RefCell::new(Feeds::new()),
         state_changed: Notify::new(),
         selector: RefCell::new(Selector::default()),
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -50,7 +50,10 @@
 pub(crate) async fn start(process: Rc<Process>) {
     let list = process.registry.list(Kind::Nodes, Freshness::Recent);
     match timeout(FIRST_NODE_LIST_TIMEOUT, list).await {
-        Ok(Ok(batch)) => apply_batch(&process, Kind::Nodes, batch, true),
+        Ok(Ok(reading)) => {
+            let batch = process.date(Kind::Nodes, reading);
+            apply_batch(&process, Kind::Nodes, batch, true);
+        }
         Ok(Err(error)) => {
             log::info!(target: "members", error:% = error; "The nodes can't be listed at the start.");
         }
@@ -108,7 +111,8 @@
         process.metrics.record_registry_call(if call.is_ok() { "answered" } else { "failed" });
         process.registry_answers.set(call.is_ok() || call == Err(Error::Compacted));
         match call {
-            Ok(batch) => {
+            Ok(reading) => {
+                let batch = process.date(kind, reading);
                 if failures > 0 {
                     on_outage_ended(&process, kind, failures);
                 }
@@ -159,13 +163,15 @@
         let call = process.registry.watch(kind, revision, OWN_CALL_WAIT).await;
         process.metrics.record_registry_call(if call.is_ok() { "answered" } else { "failed" });
         match call {
-            Ok(batch) => {
+            Ok(reading) => {
+                let batch = process.date(kind, reading);
                 log::info!(target: "registry", kind:? = kind, revision = batch.revision; "The watchers' state is old; the registry was asked directly.");
                 process.confirm(kind, process.clock.now());
                 apply_batch(process, kind, batch, false);
             }
             Err(Error::Compacted) => match process.registry.list(kind, Freshness::Current).await {
-                Ok(batch) => {
+                Ok(reading) => {
+                    let batch = process.date(kind, reading);
                     process.confirm(kind, process.clock.now());
                     apply_batch(process, kind, batch, true);
                 }
@@ -200,11 +206,14 @@
 
 /// Applies a list or changes of a kind, unless they are older than the present state.
 pub(crate) fn apply_batch(process: &Process, kind: Kind, batch: Batch, is_list: bool) {
-    if process.feeds.borrow().of(kind).revision().is_some_and(|known| batch.revision < known) {
-        log::debug!(target: "registry", kind:? = kind, revision = batch.revision; "An older state was ignored.");
+    let known = process.feeds.borrow().of(kind).revision();
+    if known.is_some_and(|known| batch.revision < known) {
+        process.metrics.record_ignored(kind);
+        log::info!(target: "registry", kind:? = kind, is_list, revision = batch.revision, known; "An older state was ignored.");
         return;
     }
     process.feeds.borrow_mut().of_mut(kind).record(&batch, is_list);
+    process.metrics.record_revision(kind, batch.revision);
     let mut servers = Vec::new();
     let mut changes = Vec::new();
     let now = process.clock.now();
@@ -266,6 +275,7 @@
         Router::new(config, |name| table.intern_service(name))
     };
     log::info!(target: "config", version = config.version, before = current, routes = config.routes.len(); "A new version of the configuration is in use.");
+    process.metrics.record_config_version(config.version);
     *process.router.borrow_mut() = Some(Rc::new(router));
     *process.config.borrow_mut() = Some(config.clone());
     update_shares(process);
@@ -375,7 +385,8 @@
             }
         }
         match process.registry.list(Kind::Nodes, Freshness::Recent).await {
-            Ok(batch) => {
+            Ok(reading) => {
+                let batch = process.date(Kind::Nodes, reading);
                 failures = 0;
                 lists += 1;
                 apply_batch(&process, Kind::Nodes, batch, true);
