--- /dev/null
+++ b/crates/process/node/tests/store_return.rs
@@ -0,0 +1,113 @@
+//! The registry returns from a copy that lacks its last changes: what it confirms afterwards
+//! is in force in time on every node.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployed::Cluster;
+use crate::deployed::Node;
+use crate::deployed::config;
+use crate::deployed::request;
+use fakes::store::Backup;
+use fakes::store::Behavior;
+use fakes::wait::eventually;
+
+mod deployed;
+
+/// The time within which a confirmed version must be in force, as the deployments' settings
+/// state it (`config_apply_ms`).
+const APPLY_BOUND: Duration = Duration::from_millis(3000);
+/// The number of nodes of the data centre: two watchers and one that follows them.
+const NODES: usize = 3;
+
+/// A version with one more route, whose path contains the version.
+fn version(number: u64) -> Value {
+    let route = json!({
+        "name": format!("added-{number}"), "host": deployed::HOST,
+        "path_prefix": format!("/added-{number}/"), "route_type": "idempotent",
+        "timeout_ms": deployed::TIMEOUT_MS, "objective_ms": 2000, "priority": 1,
+        "max_attempts": 2, "service": "plain"
+    });
+    config(number, json!([route]))
+}
+
+async fn serves(node: &Node, number: u64) -> bool {
+    let response = node.send(request("r1", "GET", &format!("/added-{number}/x"), "")).await;
+    response.status() == 200
+}
+
+/// Waits until all nodes serve the route of a version; returns the time that it took.
+async fn wait_for_version(nodes: &[Node], number: u64) -> Duration {
+    let start = Instant::now();
+    for node in nodes {
+        eventually("the version is in force", async || serves(node, number).await).await;
+    }
+    start.elapsed()
+}
+
+async fn start_nodes(cluster: &Cluster) -> Vec<Node> {
+    cluster.publish();
+    let mut nodes = Vec::new();
+    for _ in 0..NODES {
+        nodes.push(cluster.start_node());
+    }
+    for node in &nodes {
+        node.wait_until_ready().await;
+    }
+    nodes
+}
+
+/// Raises the store's revision by `count` changes.
+fn raise_revision(cluster: &Cluster, count: u64) {
+    for number in 0..count {
+        let mut entry = cluster.servers[0].entry("ready");
+        entry["sequence"] = json!(number);
+        entry["version"] = json!(format!("v{number}"));
+        cluster.store.put("servers", &cluster.servers[0].id, &entry);
+    }
+}
+
+/// Version 12 and `changes` more are written after the copy and are in force when the store
+/// goes away.
+async fn lose_changes(cluster: &Cluster, nodes: &[Node], changes: u64) -> Backup {
+    let backup = cluster.store.backup();
+    cluster.store.put("config", "main", &version(12));
+    raise_revision(cluster, changes);
+    wait_for_version(nodes, 12).await;
+    backup
+}
+
+/// Guards against a watch that goes on from a revision that the registry has given out again:
+/// it misses the changes below that revision, and no error tells.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_is_in_force_though_the_counter_has_passed_the_known_revision() {
+    let cluster = Cluster::start();
+    let nodes = start_nodes(&cluster).await;
+    let backup = lose_changes(&cluster, &nodes, 4).await;
+    cluster.store.set_behavior(Behavior::Unavailable);
+    cluster.store.restore(&backup);
+    cluster.store.put("config", "main", &version(12));
+    cluster.store.put("config", "main", &version(15));
+    raise_revision(&cluster, 20);
+    cluster.store.set_behavior(Behavior::Healthy);
+    let took = wait_for_version(&nodes, 15).await;
+    assert!(took < APPLY_BOUND, "took {took:?}");
+}
+
+/// Guards against a list that is ignored because its revision is lower than that of the state
+/// from before the return.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_is_in_force_though_the_counter_is_below_the_known_revision() {
+    let cluster = Cluster::start();
+    let nodes = start_nodes(&cluster).await;
+    let backup = lose_changes(&cluster, &nodes, 30).await;
+    cluster.store.set_behavior(Behavior::Unavailable);
+    cluster.store.restore(&backup);
+    cluster.store.set_behavior(Behavior::Healthy);
+    cluster.store.put("config", "main", &version(15));
+    let took = wait_for_version(&nodes, 15).await;
+    assert!(took < APPLY_BOUND, "took {took:?}");
+}
