site: servers in a registry's copy that had left are held until they write again

After a return from a copy, the list has servers that left since. The fleet took them as registered: a removal under way was cancelled, and a removed server got requests again for the 3.6 s until the registry removes its entry, against the bound of 3 s after its departure. Servers that were seen leaving are now held until their entry is written again or has outlived that time; those that the copy lacks have the time of an outage to come back.

--- a/crates/process/entry/src/settings.rs
+++ b/crates/process/entry/src/settings.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use replica::budget;
+use site::fleet;
 
 /// The settings of an entry node.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +42,8 @@
     pub registry_address: SocketAddr,
     /// The budget of retries and hedges.
     pub retry_budget: budget::Settings,
+    /// The delays after which missing servers are removed and returned ones are trusted.
+    pub fleet: fleet::Settings,
     /// The maximum time that callers may cache the answer to a lookup.
     pub lookup_ttl: Duration,
     /// The time from SIGTERM until the process is killed.
--- a/crates/version/site/src/fleet.rs
+++ b/crates/version/site/src/fleet.rs
@@ -6,9 +6,13 @@
 //! known one changes nothing. A missing entry is kept for
 //! [`Settings::removal_delay`], since it may have expired during an outage of the
 //! registry and be registered again; after that delay, the server is removed.
+//!
+//! A registry that returns from a copy lists servers again that have left since. One that
+//! this node saw leave is held: it gets requests only when its entry is written again, or
+//! has outlived [`Settings::copied_entry_lifetime`], in which the registry removes the
+//! entries of servers that are gone.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +27,8 @@
     pub removal_delay: Duration,
     /// The same, counted from the end of an outage of the registry.
     pub outage_removal_delay: Duration,
+    /// How long the registry keeps an entry that its server does not write.
+    pub copied_entry_lifetime: Duration,
 }
 
 impl Default for Settings {
@@ -33,12 +39,13 @@
             removal_delay: Duration::from_millis(1900),
             // Servers register again within two seconds of the end of an outage.
             outage_removal_delay: Duration::from_millis(2500),
+            copied_entry_lifetime: Duration::from_secs(4),
         }
     }
 }
 
-/// How long a drained server is remembered; older entries arrive within seconds.
-const DRAINED_RETENTION: Duration = Duration::from_secs(600);
+/// How long a server that has left is remembered; older entries arrive within seconds.
+const RETENTION: Duration = Duration::from_secs(600);
 
 /// A change of the servers that may be chosen.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,15 +69,30 @@
     Removed(Arc<str>),
 }
 
+/// A server whose entry is missing.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    /// When it is removed.
+    due: Time,
+    /// Whether the entry is missing from a copy, which may only be too old to have it.
+    from_copy: bool,
+}
+
 /// All registered servers by id.
 #[derive(Debug, Default)]
 pub struct Fleet {
     settings: Settings,
     entries: HashMap<Arc<str>, Entry>,
+    /// The registry's entries as they are, for other nodes.
+    registered: HashMap<Arc<str>, Entry>,
     /// The latest incarnation of each id that was seen draining, and when.
     drained: HashMap<Arc<str>, (u64, Time)>,
-    /// When servers with missing entries are removed.
-    removal_times: HashMap<Arc<str>, Time>,
+    /// The latest incarnation of each id that was removed, and when.
+    removed: HashMap<Arc<str>, (u64, Time)>,
+    /// The servers with missing entries.
+    missing: HashMap<Arc<str>, Missing>,
+    /// Entries of a copy whose servers had left, and when they are trusted.
+    held: HashMap<Arc<str>, (Entry, Time)>,
     /// The end of the last outage of the registry.
     outage_end: Option<Time>,
 }
@@ -96,6 +118,11 @@
         self.entries.values()
     }
 
+    /// The entries that the registry has, whether or not they may get requests.
+    pub fn registered(&self) -> impl Iterator<Item = &Entry> {
+        self.registered.values()
+    }
+
     /// Records that an outage of the registry ended at `end`.
     pub fn outage_ended(&mut self, end: Time) {
         self.outage_end = self.outage_end.max(Some(end));
@@ -109,30 +136,95 @@
     /// Applies one event; returns the change that it causes.
     pub fn apply(&mut self, now: Time, event: Event) -> Option<Change> {
         match event {
-            Event::Put(entry) => self.put(now, entry),
-            Event::Removed(id) => self.removed(now, &id),
+            Event::Put(entry) => {
+                let id = Arc::clone(&entry.incarnation.id);
+                self.held.remove(&id);
+                self.removed.remove(&id);
+                self.registered.insert(id, entry.clone());
+                self.put(now, entry)
+            }
+            Event::Removed(id) => {
+                self.registered.remove(&id);
+                self.held.remove(&id);
+                self.entry_missing(now, &id, false)
+            }
         }
     }
 
     /// Applies a complete list; entries that are not in it are missing.
     pub fn apply_list(&mut self, now: Time, list: Vec<Entry>) -> Vec<Change> {
-        let listed: HashSet<Arc<str>> =
-            list.iter().map(|entry| Arc::clone(&entry.incarnation.id)).collect();
+        self.apply_whole(now, list, false)
+    }
+
+    /// Applies the first complete list of a registry that returned from a copy.
+    pub fn apply_copy(&mut self, now: Time, list: Vec<Entry>) -> Vec<Change> {
+        self.apply_whole(now, list, true)
+    }
+
+    fn apply_whole(&mut self, now: Time, list: Vec<Entry>, is_copy: bool) -> Vec<Change> {
+        let by_id = |entry: &Entry| (Arc::clone(&entry.incarnation.id), entry.clone());
+        self.registered = list.iter().map(by_id).collect();
+        self.held.retain(|id, _| self.registered.contains_key(id));
         let missing: Vec<Arc<str>> =
-            self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
-        let mut changes: Vec<Change> =
-            list.into_iter().filter_map(|entry| self.put(now, entry)).collect();
-        changes.extend(missing.iter().filter_map(|id| self.removed(now, id)));
+            self.entries.keys().filter(|id| !self.registered.contains_key(*id)).cloned().collect();
+        let mut changes = Vec::new();
+        for entry in list {
+            if (is_copy && self.has_left(&entry)) || self.is_held(&entry) {
+                self.hold(now, entry);
+            } else {
+                changes.extend(self.put(now, entry));
+            }
+        }
+        changes.extend(missing.iter().filter_map(|id| self.entry_missing(now, id, is_copy)));
         changes
     }
 
+    /// Whether this incarnation was removed, or its entry was seen to be removed.
+    fn has_left(&self, entry: &Entry) -> bool {
+        let Incarnation { id, born } = &entry.incarnation;
+        let was_removed = self.removed.get(id).is_some_and(|(removed, _)| removed >= born);
+        let is_missing = self.missing.get(id).is_some_and(|missing| !missing.from_copy);
+        let is_known = self.entries.get(id).is_some_and(|known| known.incarnation.born >= *born);
+        was_removed || (is_missing && is_known)
+    }
+
+    fn is_held(&self, entry: &Entry) -> bool {
+        let held = self.held.get(&entry.incarnation.id);
+        held.is_some_and(|(held, _)| held.incarnation.born >= entry.incarnation.born)
+    }
+
+    fn hold(&mut self, now: Time, entry: Entry) {
+        let trusted_at = now + self.settings.copied_entry_lifetime;
+        self.held.entry(Arc::clone(&entry.incarnation.id)).or_insert((entry, trusted_at));
+    }
+
+    /// Records that an incarnation leaves, whatever its entry says.
+    pub fn leaving(&mut self, now: Time, incarnation: &Incarnation) -> Option<Change> {
+        let Incarnation { id, born } = incarnation;
+        let known = self.drained.get(id).map(|(known, _)| *known);
+        if known.is_none_or(|known| known < *born) {
+            self.drained.insert(Arc::clone(id), (*born, now));
+        }
+        let entry = self.entries.get(id)?;
+        if entry.incarnation.born > *born {
+            return None;
+        }
+        self.missing.remove(id);
+        self.entries.remove(id).map(|entry| Change::Leaving(entry.incarnation))
+    }
+
+    /// The incarnations that were seen leaving.
+    pub fn drained(&self) -> impl Iterator<Item = Incarnation> {
+        self.drained.iter().map(|(id, (born, _))| Incarnation { id: Arc::clone(id), born: *born })
+    }
+
     fn put(&mut self, now: Time, entry: Entry) -> Option<Change> {
         let id = &entry.incarnation.id;
         let born = entry.incarnation.born;
         if self.entries.get(id).is_some_and(|known| known.incarnation.born > born) {
             return None;
         }
-        self.removal_times.remove(id);
+        self.missing.remove(id);
         if entry.draining {
             self.drained.insert(Arc::clone(id), (born, now));
         }
@@ -143,16 +235,17 @@
         Some(Change::Up(entry))
     }
 
-    fn removed(&mut self, now: Time, id: &Arc<str>) -> Option<Change> {
+    fn entry_missing(&mut self, now: Time, id: &Arc<str>, from_copy: bool) -> Option<Change> {
         let entry = self.entries.get(id)?;
-        if self.removal_times.contains_key(id) {
+        if let Some(missing) = self.missing.get_mut(id) {
+            missing.from_copy &= from_copy;
             return None;
         }
         let mut due = now + self.settings.removal_delay;
         if let Some(end) = self.outage_end {
             due = due.max(end + self.settings.outage_removal_delay);
         }
-        self.removal_times.insert(Arc::clone(id), due);
+        self.missing.insert(Arc::clone(id), Missing { due, from_copy });
         Some(Change::Lapsing(entry.incarnation.clone()))
     }
 
@@ -161,26 +254,33 @@
         self.drained.len()
     }
 
-    /// Removes the servers whose entries have been missing for too long, and forgets those
-    /// that drained long ago.
+    /// Removes the servers whose entries have been missing for too long, trusts the copied
+    /// entries that have outlived their lifetime, and forgets the servers that left long ago.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
-        self.drained.retain(|_, (_, at)| now.since(*at) < DRAINED_RETENTION);
-        let due: Vec<Arc<str>> = self
-            .removal_times
-            .iter()
-            .filter(|(_, due)| **due <= now)
-            .map(|(id, _)| Arc::clone(id))
-            .collect();
+        let is_recent = |(_, at): &(u64, Time)| now.since(*at) < RETENTION;
+        self.drained.retain(|_, left| is_recent(left));
+        self.removed.retain(|_, left| is_recent(left));
         let mut changes = Vec::new();
-        for id in due {
-            self.removal_times.remove(&id);
-            changes.extend(self.entries.remove(&id).map(|entry| Change::Gone(entry.incarnation)));
+        for id in due_ids(&self.missing, |missing| missing.due <= now) {
+            self.missing.remove(&id);
+            let Some(entry) = self.entries.remove(&id) else { continue };
+            self.removed.insert(id, (entry.incarnation.born, now));
+            changes.push(Change::Gone(entry.incarnation));
+        }
+        for id in due_ids(&self.held, |(_, trusted_at)| *trusted_at <= now) {
+            let Some((entry, _)) = self.held.remove(&id) else { continue };
+            self.removed.remove(&id);
+            changes.extend(self.put(now, entry));
         }
         changes
     }
 
     /// When [`Self::expire`] removes the next server.
     pub fn next_expiry(&self) -> Option<Time> {
-        self.removal_times.values().copied().min()
+        self.missing.values().map(|missing| missing.due).min()
     }
 }
+
+fn due_ids<T>(by_id: &HashMap<Arc<str>, T>, is_due: impl Fn(&T) -> bool) -> Vec<Arc<str>> {
+    by_id.iter().filter(|(_, value)| is_due(value)).map(|(id, _)| Arc::clone(id)).collect()
+}
