--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -169,6 +169,13 @@
         self.shared.objects.lock().era_header = header;
     }
 
+    /// The names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let objects = self.shared.objects.lock();
+        let of_kind = objects.current.keys().filter(|(object_kind, _)| object_kind == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
     /// Drops the history: watches from earlier revisions are answered with 410.
     pub fn compact(&self) {
         let mut objects = self.shared.objects.lock();
--- a/crates/process/entry/src/era.rs
+++ b/crates/process/entry/src/era.rs
@@ -1,20 +1,23 @@
 //! The registry's era, which rises when the registry returns from a copy. No I/O.
 //!
-//! Invariant: the newest era never falls.
+//! Invariant: the newest era never falls. An answer that states no era counts as one of the
+//! newest era.
 
-/// What an answer of the registry says about its era.
+/// What an answer says about the registry's era.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Notice {
-    /// Nothing new.
+    /// Nothing new, or nothing that was not reported before.
     Nothing,
-    /// The registry has returned from a copy: the newest era was `before`.
+    /// The first era that was seen.
+    First,
+    /// The registry has returned from a copy.
     Risen {
-        /// The era before; `None` if this is the first one seen.
-        before: Option<u64>,
+        /// The newest era before.
+        before: u64,
     },
-    /// The answer is from an earlier era than the newest one.
+    /// The answer is from an earlier era.
     Earlier,
-    /// The answer doesn't state an era, though answers before it did.
+    /// The answer states no era, though others did.
     Absent,
 }
 
@@ -22,6 +25,8 @@
 #[derive(Debug, Default)]
 pub struct Tracker {
     newest: Option<u64>,
+    has_reported_earlier: bool,
+    has_reported_absent: bool,
 }
 
 impl Tracker {
@@ -30,16 +35,25 @@
         self.newest.unwrap_or_default()
     }
 
-    /// Takes note of the era that an answer states, if it states one.
-    pub fn observe(&mut self, era: Option<u64>) -> Notice {
-        match (era, self.newest) {
-            (None, Some(_)) => Notice::Absent,
-            (Some(era), Some(newest)) if era < newest => Notice::Earlier,
-            (Some(era), newest) if newest != Some(era) => {
-                self.newest = Some(era);
-                Notice::Risen { before: newest }
+    /// Takes note of the era that an answer states; returns the era that the answer counts as.
+    pub fn date(&mut self, stated: Option<u64>) -> (u64, Notice) {
+        let Some(era) = stated else {
+            let is_new = self.newest.is_some() && !self.has_reported_absent;
+            self.has_reported_absent |= is_new;
+            return (self.newest(), if is_new { Notice::Absent } else { Notice::Nothing });
+        };
+        let notice = match self.newest {
+            None => Notice::First,
+            Some(before) if era > before => Notice::Risen { before },
+            Some(newest) if era < newest && !self.has_reported_earlier => {
+                self.has_reported_earlier = true;
+                Notice::Earlier
             }
-            _ => Notice::Nothing,
+            Some(_) => Notice::Nothing,
+        };
+        if matches!(notice, Notice::First | Notice::Risen { .. }) {
+            *self = Self { newest: Some(era), ..Self::default() };
         }
+        (era, notice)
     }
 }
--- a/crates/process/entry/src/feed.rs
+++ b/crates/process/entry/src/feed.rs
@@ -1,12 +1,14 @@
 //! The recent changes of one kind of registry objects, for the nodes that follow this one.
 //! No I/O.
 //!
-//! Invariant: the revision never goes back.
+//! Invariant: the revision never goes back. Changes of two eras are never joined: a node
+//! with a state of an earlier era gets a list.
 
 use std::collections::VecDeque;
 
 use crate::registry::Batch;
 use crate::registry::Event;
+use crate::revision::Revision;
 
 /// The changes since a revision.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,32 +20,56 @@
     /// They are no longer kept: a list is needed.
     List {
         /// The revision of the present state.
-        revision: u64,
+        revision: Revision,
     },
 }
 
+/// How a list or changes relate to the state of their kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Relation {
+    /// They continue the state or confirm it.
+    Continuation,
+    /// A list that replaces the state after the registry returned from a copy.
+    Replacement,
+    /// They are older than the state.
+    Older,
+    /// Changes after the registry returned from a copy: they don't continue the state from
+    /// before, so a list is needed first.
+    Gap,
+}
+
 /// The recent changes of one kind.
 #[derive(Debug)]
 pub struct Feed {
     /// The maximum number of batches that are kept; a node that missed more gets a list.
     max_batches: usize,
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// The revision before the oldest batch.
-    floor: u64,
+    floor: Revision,
     batches: VecDeque<Batch>,
 }
 
 impl Feed {
     /// A feed without a state that keeps `max_batches` batches.
     pub fn new(max_batches: usize) -> Self {
-        Self { max_batches, revision: None, floor: 0, batches: VecDeque::new() }
+        Self { max_batches, revision: None, floor: Revision::default(), batches: VecDeque::new() }
     }
 
     /// The revision of the state; `None` before the first list.
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<Revision> {
         self.revision
     }
 
+    /// How a list or changes that lead to `revision` relate to the state.
+    pub fn relate(&self, revision: Revision, is_list: bool) -> Relation {
+        match self.revision {
+            Some(known) if revision < known => Relation::Older,
+            Some(known) if revision.era > known.era && is_list => Relation::Replacement,
+            Some(known) if revision.era > known.era => Relation::Gap,
+            _ => Relation::Continuation,
+        }
+    }
+
     /// Records a batch that was applied. A list replaces all changes before it.
     pub fn record(&mut self, batch: &Batch, is_list: bool) {
         if self.revision.is_some_and(|revision| batch.revision <= revision) {
@@ -67,7 +93,7 @@
     }
 
     /// What a node that has the state of `revision` misses.
-    pub fn since(&self, revision: Option<u64>) -> Since {
+    pub fn since(&self, revision: Option<Revision>) -> Since {
         let Some(newest) = self.revision else { return Since::Nothing };
         let Some(known) = revision else { return Since::List { revision: newest } };
         if known >= newest {
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod placement;
 pub mod protocol;
 pub mod registry;
+pub mod revision;
 pub mod run;
 pub mod serving;
 pub mod settings;
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -17,6 +17,7 @@
 use prometheus::TextEncoder;
 
 use crate::registry::Kind;
+use crate::revision::Revision;
 
 /// Upper bounds of the latency buckets; objectives are between 80 and 600 ms.
 const LATENCY_BOUNDS_MS: [f64; 12] =
@@ -111,8 +112,8 @@
     }
 
     /// Records the revision of the state of a kind.
-    pub(crate) fn record_revision(&self, kind: Kind, revision: u64) {
-        self.registry_revision.record(revision, &[KeyValue::new("kind", kind.name())]);
+    pub(crate) fn record_revision(&self, kind: Kind, revision: Revision) {
+        self.registry_revision.record(revision.number, &[KeyValue::new("kind", kind.name())]);
     }
 
     /// Records the version of the configuration in use.
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +23,7 @@
 use crate::registry::Kind;
 use crate::registry::Reading;
 use crate::registry::Registry;
+use crate::revision::Revision;
 use crate::serving::Role;
 use crate::settings::Settings;
 use crate::shares::Shares;
@@ -59,6 +62,8 @@
     pub(crate) shares: Cell<Shares>,
     /// The registry's newest era.
     pub(crate) era: RefCell<era::Tracker>,
+    /// Notified when it rises.
+    pub(crate) era_risen: Notify,
     /// The revisions and recent changes of the registry's state.
     pub(crate) feeds: RefCell<Feeds>,
     /// Notified when [`Self::feeds`] has changes.
@@ -79,8 +84,12 @@
     pub(crate) sends_per_second: Cell<u32>,
     /// How slow this VM runs at present, in percent of its usual time for the same work.
     pub(crate) slowness: Cell<u32>,
-    /// Whether the registry lists this node with its present data.
-    pub(crate) is_registered: Cell<bool>,
+    /// The era in which the registry is known to list this node with its present data.
+    pub(crate) registered_era: Cell<Option<u64>>,
+    /// Notified when the registry has returned without this node's entry.
+    pub(crate) registration_lost: Notify,
+    /// The nodes in the registry's last list, and its era; only on nodes that take lists.
+    pub(crate) listed_nodes: RefCell<Option<ListedNodes>>,
     /// Whether a list of the servers was received.
     pub(crate) has_server_list: Cell<bool>,
     /// Whether the process is shutting down.
@@ -111,22 +120,60 @@
         *known = at.max(*known);
     }
 
-    /// Takes note of the era of the registry's answer to a call for `kind`, and logs what it
-    /// says.
+    /// Dates an answer of the registry by its era.
     pub(crate) fn date(&self, kind: Kind, reading: Reading) -> Batch {
-        let Reading { events, era, revision } = reading;
-        let notice = self.era.borrow_mut().observe(era);
+        let Reading { events, era, number } = reading;
+        let era = self.observe_era(era, &format!("registry, {}", kind.name()));
+        Batch { events, revision: Revision { era, number } }
+    }
+
+    /// Takes note of an era that `source` states; returns the era that its answer counts as.
+    pub(crate) fn observe_era(&self, stated: Option<u64>, source: &str) -> u64 {
+        let (era, notice) = self.era.borrow_mut().date(stated);
         match notice {
+            Notice::Nothing => return era,
+            Notice::First => {
+                log::info!(target: "registry", era, source; "The registry's era is known.");
+            }
             Notice::Risen { before } => {
-                self.metrics.record_era(self.era.borrow().newest());
-                log::info!(target: "registry", kind:? = kind, era, before, revision, known = self.feeds.borrow().of(kind).revision(); "The registry's era has risen: it returned from a copy, unless this is the first era seen.");
+                let feeds = self.feeds.borrow();
+                let known = |kind| feeds.of(kind).revision().map(|revision| revision.to_string());
+                log::warn!(target: "registry", era, before, source, config = known(Kind::Config), servers = known(Kind::Servers); "The registry returned from a copy; all kinds are listed again.");
+                self.fleet.borrow_mut().outage_ended(self.clock.now());
+                self.era_risen.notify_waiters();
+            }
+            Notice::Earlier => {
+                log::warn!(target: "registry", era, source, newest = self.era.borrow().newest(); "An answer is from an earlier era; the state does not go back to it. Further ones are not logged.");
             }
-            Notice::Earlier | Notice::Absent => {
-                log::debug!(target: "registry", kind:? = kind, era, newest = self.era.borrow().newest(); "An answer of the registry has an earlier era, or none.");
+            Notice::Absent => {
+                log::warn!(target: "registry", source, newest = era; "An answer states no era; it counts as one of the newest era. Further ones are not logged.");
+            }
+        }
+        self.metrics.record_era(self.era.borrow().newest());
+        era
+    }
+
+    /// Whether the registry has returned from a copy since `revision`.
+    pub(crate) fn is_outdated(&self, revision: Revision) -> bool {
+        revision.era < self.era.borrow().newest()
+    }
+
+    /// Records that the registry lists this node in its newest era.
+    pub(crate) fn set_registered(&self) {
+        self.registered_era.set(Some(self.era.borrow().newest()));
+    }
+
+    /// Registers this node again if the registry, in its newest era, does not list it.
+    pub(crate) fn on_registration(&self, is_listed: bool) {
+        let newest = self.era.borrow().newest();
+        match self.registered_era.get() {
+            Some(era) if era < newest && is_listed => self.set_registered(),
+            Some(era) if era < newest => {
+                self.registered_era.set(None);
+                self.registration_lost.notify_one();
             }
-            Notice::Nothing => {}
+            _ => {}
         }
-        Batch { events, revision }
     }
 
     /// The greatest number of services that one request is sent to.
@@ -171,6 +218,12 @@
 const KEPT_CONFIG_BATCHES: usize = 1;
 const KEPT_SERVER_BATCHES: usize = 64;
 
+/// The nodes in a list of the registry.
+pub(crate) struct ListedNodes {
+    pub(crate) revision: Revision,
+    pub(crate) addresses: HashSet<IpAddr>,
+}
+
 /// The feeds of the kinds that nodes pass on to each other.
 pub(crate) struct Feeds {
     config: Feed,
--- a/crates/process/entry/src/registry.rs
+++ b/crates/process/entry/src/registry.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::revision::Revision;
 use site::config::Config;
 use site::register::Entry;
 
@@ -86,8 +87,8 @@
 pub struct Batch {
     /// The objects or changes.
     pub events: Vec<Event>,
-    /// The revision that the next watch continues from.
-    pub revision: u64,
+    /// The revision of the state that they lead to.
+    pub revision: Revision,
 }
 
 /// The registry's answer to a list or a watch.
@@ -97,8 +98,8 @@
     pub events: Vec<Event>,
     /// The registry's era, if the answer states one.
     pub era: Option<u64>,
-    /// The revision that the next watch continues from.
-    pub revision: u64,
+    /// The number of the revision that the next watch continues from.
+    pub number: u64,
 }
 
 /// Why a call failed.
@@ -140,9 +141,9 @@
     /// list, so that a watch from there misses no change.
     fn list(&self, kind: Kind, freshness: Freshness) -> Pending<'_, Reading>;
 
-    /// Returns the changes of a kind since `revision`; waits up to `wait` if there are
-    /// none yet.
-    fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> Pending<'_, Reading>;
+    /// Returns the changes of a kind since revision `number` of the registry's present era;
+    /// waits up to `wait` if there are none yet.
+    fn watch(&self, kind: Kind, number: u64, wait: Duration) -> Pending<'_, Reading>;
 
     /// Registers an entry node; does nothing if it is registered with the same data.
     fn register<'a>(&'a self, node: &'a Node) -> Pending<'a, ()>;
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -31,11 +31,13 @@
 use crate::registry::Event;
 use crate::registry::Item;
 use crate::registry::Kind;
+use crate::revision::Revision;
 use crate::serve;
 use crate::serve::Answer;
 use crate::source::Source;
 use crate::upstream;
 use crate::watcher;
+use site::register::Incarnation;
 
 /// How long a poll waits for a change.
 const POLL_WAIT: Duration = Duration::from_millis(700);
@@ -58,18 +60,26 @@
 const KINDS: [Kind; 2] = [Kind::Config, Kind::Servers];
 
 /// A poll: what the asking node has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 struct Poll {
+    /// Its IP address.
+    ip: IpAddr,
     /// The revision of its configuration, if it has one.
-    config: Option<u64>,
+    config: Option<Revision>,
     /// The revision of its servers, if it has them.
-    servers: Option<u64>,
+    servers: Option<Revision>,
+    /// The version of the configuration that it uses.
+    version: Option<u64>,
+    /// The registry's newest era that it knows.
+    era: u64,
+    /// Whether it has just started, so that it doesn't know which servers leave.
+    is_new: bool,
     /// How long to wait for a change, in milliseconds.
     wait_ms: u64,
 }
 
 impl Poll {
-    fn revision(&self, kind: Kind) -> Option<u64> {
+    fn revision(&self, kind: Kind) -> Option<Revision> {
         match kind {
             Kind::Config => self.config,
             Kind::Servers => self.servers,
@@ -97,6 +107,13 @@
     /// How long ago the answering node saw the last outage of the registry end, in
     /// milliseconds.
     outage_age_ms: Option<u64>,
+    /// The registry's newest era that the answering node knows.
+    era: u64,
+    /// Whether the registry's list of the nodes in that era has the asking node, if the
+    /// answering node has such a list.
+    is_registered: Option<bool>,
+    /// The servers that leave or have left, for an asking node that is new.
+    leaving: Vec<Incarnation>,
 }
 
 /// The connections to the nodes that this one follows.
@@ -131,6 +148,9 @@
             return serve::empty_answer(StatusCode::BAD_REQUEST, None);
         }
     };
+    if poll.era > process.era.borrow().newest() {
+        process.observe_era(Some(poll.era), &format!("node {}", poll.ip));
+    }
     let mut updates = missed(&process, &poll);
     if updates.is_empty() {
         let wait = Duration::from_millis(poll.wait_ms).min(MAX_WAIT);
@@ -145,7 +165,15 @@
     let outage_end = process.fleet.borrow().outage_end();
     let outage_age_ms = outage_end.map(|end| now.since(end).as_millis() as u64);
     let ages_ms = KINDS.map(|kind| now.since(process.confirmed_at(kind)).as_millis() as u64);
-    match rmp_serde::to_vec(&State { updates, ages_ms, outage_age_ms }) {
+    let era = process.era.borrow().newest();
+    let is_registered = {
+        let listed = process.listed_nodes.borrow();
+        let current = listed.as_ref().filter(|listed| listed.revision.era == era);
+        current.map(|listed| listed.addresses.contains(&poll.ip))
+    };
+    let leaving = if poll.is_new { process.fleet.borrow().drained().collect() } else { Vec::new() };
+    let state = State { updates, ages_ms, outage_age_ms, era, is_registered, leaving };
+    match rmp_serde::to_vec(&state) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
             log::error!(target: "members", error:% = error; "The registry's state can't be encoded.");
@@ -158,7 +186,7 @@
 fn missed(process: &Process, poll: &Poll) -> Vec<Update> {
     let feeds = process.feeds.borrow();
     let of_kind = |kind: Kind| match feeds.of(kind).since(poll.revision(kind)) {
-        Since::Nothing => None,
+        Since::Nothing => newer_version(process, poll, kind),
         Since::Changes(batch) => Some(Update { kind, is_list: false, batch }),
         Since::List { revision } => {
             let batch = Batch { events: list(process, kind), revision };
@@ -168,6 +196,17 @@
     KINDS.into_iter().filter_map(of_kind).collect()
 }
 
+/// A later version of the configuration than that of the asking node, whose state is not older:
+/// it took it from a copy.
+fn newer_version(process: &Process, poll: &Poll, kind: Kind) -> Option<Update> {
+    let own = process.config.borrow().as_ref().map(|config| config.version);
+    let revision = process.feeds.borrow().of(kind).revision()?;
+    if kind != Kind::Config || own <= poll.version {
+        return None;
+    }
+    Some(Update { kind, is_list: true, batch: Batch { events: list(process, kind), revision } })
+}
+
 /// All objects of a kind that this node has.
 fn list(process: &Process, kind: Kind) -> Vec<Event> {
     match kind {
@@ -177,7 +216,7 @@
         }
         Kind::Servers => {
             let fleet = process.fleet.borrow();
-            fleet.entries().cloned().map(|entry| Event::Put(Item::Server(entry))).collect()
+            fleet.registered().cloned().map(|entry| Event::Put(Item::Server(entry))).collect()
         }
         Kind::Nodes => Vec::new(),
     }
@@ -253,8 +292,12 @@
         let feeds = process.feeds.borrow();
         let revision = |kind| feeds.of(kind).revision();
         Poll {
+            ip: process.settings.ip,
             config: revision(Kind::Config),
             servers: revision(Kind::Servers),
+            version: process.router.borrow().as_ref().map(|router| router.version),
+            era: process.era.borrow().newest(),
+            is_new: wait.is_zero(),
             wait_ms: wait.as_millis() as u64,
         }
     };
@@ -277,23 +320,44 @@
         process.fleet.borrow_mut().outage_ended(now.before(Duration::from_millis(age)));
     }
     let now = process.clock.now();
+    if state.era > process.era.borrow().newest() {
+        process.observe_era(Some(state.era), "another node");
+    }
     for update in state.updates {
         watcher::apply_batch(process, update.kind, update.batch, update.is_list);
     }
+    state.leaving.iter().for_each(|server| watcher::server_leaves(process, server));
+    if state.era < process.era.borrow().newest() {
+        // What the registry confirmed to that node in an earlier era says nothing of this one.
+        return;
+    }
+    if let Some(is_listed) = state.is_registered {
+        process.on_registration(is_listed);
+    }
     for (kind, age) in KINDS.into_iter().zip(state.ages_ms) {
         process.confirm(kind, now.before(Duration::from_millis(age)));
     }
 }
 
-/// Asks nodes one after another for their state, nearest first, and applies the first answer:
-/// for a start while the registry does not answer.
+/// Asks nodes one after another for their state, nearest first, and applies the first one: for
+/// a start while the registry does not answer.
 pub(crate) async fn fetch_state(process: &Process) {
+    ask_nodes(process, |state| !state.updates.is_empty()).await;
+}
+
+/// Asks the nearest node for what it knows beyond the registry's list: after a return from a
+/// copy, the list may lack versions and departures that were confirmed before.
+pub(crate) async fn fetch_newer(process: Rc<Process>) {
+    ask_nodes(&process, |_| true).await;
+}
+
+async fn ask_nodes(process: &Process, suffices: impl Fn(&State) -> bool) {
     let peers = process.members.borrow().addresses();
     for ip in peers.into_iter().take(MAX_PEERS_ASKED) {
         let mut links = Links::new();
         match timeout(POLL_TIMEOUT, poll(process, &mut links, ip, Duration::ZERO)).await {
-            Ok(Ok(state)) if !state.updates.is_empty() => {
-                log::info!(target: "members", peer:% = ip; "The registry's state was received from a peer.");
+            Ok(Ok(state)) if suffices(&state) => {
+                log::info!(target: "members", peer:% = ip, updates = state.updates.len(); "The registry's state was received from a peer.");
                 return apply(process, state);
             }
             Ok(Ok(_)) => {}
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -45,7 +45,6 @@
 use replica::budget::Budget;
 use replica::table::Locality;
 use replica::table::Table;
-use site::fleet;
 use site::fleet::Fleet;
 
 /// Why a node did not start.
@@ -183,7 +182,7 @@
         registry,
         config: RefCell::new(None),
         router: RefCell::new(None),
-        fleet: RefCell::new(Fleet::new(fleet::Settings::default())),
+        fleet: RefCell::new(Fleet::new(settings.fleet)),
         table: RefCell::new(Table::new(locality, rng.random())),
         budget: RefCell::new(budget),
         route_stats: RefCell::new(StatsByRoute::default()),
@@ -193,6 +192,7 @@
         role: RefCell::new(Role::default()),
         shares: Cell::new(shares),
         era: RefCell::new(era::Tracker::default()),
+        era_risen: Notify::new(),
         feeds: RefCell::new(Feeds::new()),
         state_changed: Notify::new(),
         selector: RefCell::new(Selector::default()),
@@ -203,7 +203,9 @@
         sends: Cell::new(0),
         sends_per_second: Cell::new(0),
         slowness: Cell::new(100),
-        is_registered: Cell::new(false),
+        registered_era: Cell::new(None),
+        registration_lost: Notify::new(),
+        listed_nodes: RefCell::new(None),
         has_server_list: Cell::new(false),
         leaving: Cell::new(false),
         shutdown_started: Notify::new(),
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -3,7 +3,8 @@
 //! registry and from other nodes.
 //!
 //! Invariants: a version of the configuration is never replaced by an older one. The
-//! state of a kind never goes back to an older revision.
+//! state of a kind never goes back to an older revision. After a return of the registry
+//! from a copy, no changes are applied to the state from before it: a list comes first.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +14,9 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::feed::Relation;
 use crate::members::Peer;
+use crate::process::ListedNodes;
 use crate::process::Process;
 use crate::registry::Batch;
 use crate::registry::Error;
@@ -23,12 +26,14 @@
 use crate::registry::Kind;
 use crate::registry::Node;
 use crate::relay;
+use crate::revision::Revision;
 use crate::shares::Shares;
 use crate::source;
 use crate::source::Source;
 use site::config::Config;
 use site::fleet;
 use site::fleet::Change;
+use site::register::Incarnation;
 use site::router::Router;
 
 /// How long the registry is asked to wait for a change. Calls received while the registry
@@ -45,6 +50,9 @@
 /// The maximum delay after a failed call, before jitter: changes must take effect within
 /// seconds of the end of an outage.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// The maximum delay of the list that follows a return of the registry from a copy, so that
+/// the watchers don't take it at the same time.
+const MAX_RETURN_DELAY: Duration = Duration::from_millis(250);
 
 /// Finds the other nodes, then starts to watch the registry and registers this node.
 pub(crate) async fn start(process: Rc<Process>) {
@@ -90,23 +98,37 @@
 async fn run(process: Rc<Process>, kind: Kind) {
     wait_for_state(&process, kind).await;
     let mut failures = 0;
+    let mut unusable = 0;
     let mut compacted = false;
     loop {
-        let revision = process.feeds.borrow().of(kind).revision();
-        if revision.is_some() && process.source.get() != Source::Registry {
+        let known = process.feeds.borrow().of(kind).revision();
+        if known.is_some() && process.source.get() != Source::Registry {
             failures = 0;
             follow(&process, kind).await;
             continue;
         }
-        let call = match revision {
-            Some(revision) if !compacted => {
+        let outdated = known.is_some_and(|known| process.is_outdated(known));
+        let is_list = known.is_none() || compacted || outdated;
+        let call = match known {
+            Some(known) if !is_list => {
                 let wait = if failures > 0 { WATCH_WAIT_AFTER_FAILURE } else { WATCH_WAIT };
-                process.registry.watch(kind, revision, wait).await
+                tokio::select! {
+                    call = process.registry.watch(kind, known.number, wait) => call,
+                    // Another call has seen the registry's return: the list must not wait for
+                    // the end of this watch.
+                    () = process.era_risen.notified() => continue,
+                }
             }
             // Without a state, an older list will do: the watch that follows brings the
             // changes since then.
             None => process.registry.list(kind, Freshness::Recent).await,
-            Some(_) => process.registry.list(kind, Freshness::Current).await,
+            Some(_) => {
+                if outdated {
+                    let jitter = process.table.borrow_mut().random_fraction();
+                    sleep(MAX_RETURN_DELAY.mul_f64(jitter)).await;
+                }
+                process.registry.list(kind, Freshness::Current).await
+            }
         };
         process.metrics.record_registry_call(if call.is_ok() { "answered" } else { "failed" });
         process.registry_answers.set(call.is_ok() || call == Err(Error::Compacted));
@@ -117,11 +139,20 @@
                     on_outage_ended(&process, kind, failures);
                 }
                 failures = 0;
-                process.confirm(kind, process.clock.now());
                 let changed = !batch.events.is_empty();
-                let is_list = revision.is_none() || compacted;
-                compacted = false;
-                apply_batch(&process, kind, batch, is_list);
+                if !apply_batch(&process, kind, batch, is_list) {
+                    unusable += 1;
+                    sleep(backoff(&process, unusable)).await;
+                    continue;
+                }
+                unusable = 0;
+                process.confirm(kind, process.clock.now());
+                if is_list {
+                    compacted = false;
+                }
+                if known.is_none() && kind == Kind::Config {
+                    spawn_local(relay::fetch_newer(Rc::clone(&process)));
+                }
                 if changed {
                     sleep(BATCH_DELAY).await;
                 }
@@ -155,31 +186,19 @@
         if timeout_at(process.clock.instant(due), changed).await.is_ok() {
             return;
         }
-        let Some(revision) = process.feeds.borrow().of(kind).revision() else { return };
+        let Some(known) = process.feeds.borrow().of(kind).revision() else { return };
         // A watcher may have confirmed the state while this node waited.
         if source::own_call_at(process.confirmed_at(kind), failed_at, 0.0) > process.clock.now() {
             continue;
         }
-        let call = process.registry.watch(kind, revision, OWN_CALL_WAIT).await;
+        let call = ask_registry(process, kind, known).await;
         process.metrics.record_registry_call(if call.is_ok() { "answered" } else { "failed" });
         match call {
-            Ok(reading) => {
-                let batch = process.date(kind, reading);
-                log::info!(target: "registry", kind:? = kind, revision = batch.revision; "The watchers' state is old; the registry was asked directly.");
+            Ok(true) => {
+                log::info!(target: "registry", kind:? = kind, before:% = known; "The watchers' state is old; the registry was asked directly.");
                 process.confirm(kind, process.clock.now());
-                apply_batch(process, kind, batch, false);
             }
-            Err(Error::Compacted) => match process.registry.list(kind, Freshness::Current).await {
-                Ok(reading) => {
-                    let batch = process.date(kind, reading);
-                    process.confirm(kind, process.clock.now());
-                    apply_batch(process, kind, batch, true);
-                }
-                Err(error) => {
-                    log::debug!(target: "registry", kind:? = kind, error:% = error; "The registry can't be listed.");
-                    failed_at = Some(process.clock.now());
-                }
-            },
+            Ok(false) => failed_at = Some(process.clock.now()),
             Err(error) => {
                 log::debug!(target: "registry", kind:? = kind, error:% = error; "The registry does not answer either.");
                 failed_at = Some(process.clock.now());
@@ -188,6 +207,25 @@
     }
 }
 
+/// Gets the present state of a kind from the registry: the changes since `known`, or a list if
+/// it can't tell them. Returns whether the answer could be used.
+async fn ask_registry(process: &Process, kind: Kind, known: Revision) -> Result<bool, Error> {
+    if !process.is_outdated(known) {
+        match process.registry.watch(kind, known.number, OWN_CALL_WAIT).await {
+            Ok(reading) => {
+                let batch = process.date(kind, reading);
+                if apply_batch(process, kind, batch, false) {
+                    return Ok(true);
+                }
+            }
+            Err(Error::Compacted) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    let batch = process.date(kind, process.registry.list(kind, Freshness::Current).await?);
+    Ok(apply_batch(process, kind, batch, true))
+}
+
 /// How long a follower's own call waits for a change.
 const OWN_CALL_WAIT: Duration = Duration::from_millis(1);
 
@@ -204,16 +242,25 @@
     delay.mul_f64(0.5 + 0.5 * process.table.borrow_mut().random_fraction())
 }
 
-/// Applies a list or changes of a kind, unless they are older than the present state.
-pub(crate) fn apply_batch(process: &Process, kind: Kind, batch: Batch, is_list: bool) {
-    let known = process.feeds.borrow().of(kind).revision();
-    if known.is_some_and(|known| batch.revision < known) {
+/// Applies a list or changes of a kind. Returns whether they were used: a state that is older
+/// than the present one is not, and neither are changes to a state of a later era than this
+/// node's.
+pub(crate) fn apply_batch(process: &Process, kind: Kind, batch: Batch, is_list: bool) -> bool {
+    let relation = process.feeds.borrow().of(kind).relate(batch.revision, is_list);
+    if relation != Relation::Continuation {
+        let known = process.feeds.borrow().of(kind).revision().unwrap_or_default();
+        log::info!(target: "registry", kind:? = kind, relation:? = relation, is_list, revision:% = batch.revision, known:% = known, objects = batch.events.len(); "The registry's answer does not continue the known state.");
+    }
+    if matches!(relation, Relation::Older | Relation::Gap) {
         process.metrics.record_ignored(kind);
-        log::info!(target: "registry", kind:? = kind, is_list, revision = batch.revision, known; "An older state was ignored.");
-        return;
+        apply_permanent(process, batch.events);
+        return false;
     }
     process.feeds.borrow_mut().of_mut(kind).record(&batch, is_list);
     process.metrics.record_revision(kind, batch.revision);
+    if kind == Kind::Nodes && is_list {
+        on_nodes_listed(process, &batch);
+    }
     let mut servers = Vec::new();
     let mut changes = Vec::new();
     let now = process.clock.now();
@@ -226,9 +273,6 @@
                 changes.extend(process.fleet.borrow_mut().apply(now, fleet::Event::Put(entry)));
             }
             Event::Put(Item::Node(node)) => {
-                if node == own_node(process) {
-                    process.is_registered.set(true);
-                }
                 let Node { ip, data_centre, capacity, .. } = node;
                 process.members.borrow_mut().add_peer(Peer { ip, data_centre, capacity });
             }
@@ -249,7 +293,12 @@
     }
     if kind == Kind::Servers {
         if is_list {
-            changes.extend(process.fleet.borrow_mut().apply_list(now, servers));
+            let mut fleet = process.fleet.borrow_mut();
+            changes.extend(if relation == Relation::Replacement {
+                fleet.apply_copy(now, servers)
+            } else {
+                fleet.apply_list(now, servers)
+            });
         }
         process.has_server_list.set(true);
         apply_changes(process, &changes);
@@ -257,6 +306,45 @@
     if !is_empty {
         process.state_changed.notify_waiters();
     }
+    true
+}
+
+/// Applies what an older state says for good: a later version of the configuration, and that
+/// servers leave.
+fn apply_permanent(process: &Process, events: Vec<Event>) {
+    for event in events {
+        match event {
+            Event::Put(Item::Config(config)) => install_config(process, &config),
+            Event::Put(Item::Server(entry)) if entry.draining => {
+                server_leaves(process, &entry.incarnation);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Stops the use of a server that leaves, whatever its entry says.
+pub(crate) fn server_leaves(process: &Process, incarnation: &Incarnation) {
+    let change = process.fleet.borrow_mut().leaving(process.clock.now(), incarnation);
+    apply_changes(process, change.as_slice());
+}
+
+/// Takes note of which nodes the registry lists.
+fn on_nodes_listed(process: &Process, batch: &Batch) {
+    let nodes = || {
+        batch.events.iter().filter_map(|event| match event {
+            Event::Put(Item::Node(node)) => Some(node),
+            _ => None,
+        })
+    };
+    let own = own_node(process);
+    let is_listed = nodes().any(|node| *node == own);
+    if is_listed && process.registered_era.get().is_none() {
+        process.set_registered();
+    }
+    process.on_registration(is_listed);
+    let addresses = nodes().map(|node| node.ip).collect();
+    *process.listed_nodes.borrow_mut() = Some(ListedNodes { revision: batch.revision, addresses });
 }
 
 /// Starts to use a version of the configuration, unless it is older than or the same as
@@ -362,33 +450,62 @@
     }
 }
 
-/// Registers this node unless it was listed with the same data, then lists the others
-/// periodically.
+/// Registers this node unless it was listed with the same data, and again each time the
+/// registry has lost its entry; lists the others periodically.
 async fn register_and_list_nodes(process: Rc<Process>) {
-    let node = own_node(&process);
+    // A node that was registered before its start has found the others already.
+    let lists = if process.registered_era.get().is_some() { FIRST_NODE_LISTS } else { 0 };
+    register(&process).await;
+    spawn_local(list_nodes(Rc::clone(&process), lists));
+    loop {
+        process.registration_lost.notified().await;
+        let jitter = process.table.borrow_mut().random_fraction();
+        sleep(MAX_REGISTRATION_DELAY.mul_f64(jitter)).await;
+        log::warn!(target: "members", era = process.era.borrow().newest(); "The registry returned without this node's entry; registering again.");
+        register(&process).await;
+    }
+}
+
+async fn register(process: &Process) {
+    let node = own_node(process);
     let mut failures = 0;
-    while !process.is_registered.get()
-        && let Err(error) = process.registry.register(&node).await
-    {
-        failures += 1;
-        log::info!(target: "members", error:% = error, failures; "This node is not registered yet.");
-        sleep(backoff(&process, failures)).await;
+    while process.registered_era.get().is_none() {
+        match process.registry.register(&node).await {
+            Ok(()) => process.set_registered(),
+            Err(error) => {
+                failures += 1;
+                log::info!(target: "members", error:% = error, failures; "This node is not registered yet.");
+                sleep(backoff(process, failures)).await;
+            }
+        }
     }
-    // A node that was registered before its start has found the others already.
-    let mut lists = if process.is_registered.get() { FIRST_NODE_LISTS } else { 0 };
+}
+
+/// Lists the registered nodes: after the start, then while this node watches the registry,
+/// periodically and after each return of the registry from a copy.
+async fn list_nodes(process: Rc<Process>, mut lists: u32) {
     let mut failures = 0;
+    let mut freshness = Freshness::Recent;
     loop {
         if lists >= FIRST_NODE_LISTS {
-            sleep(NODE_LIST_INTERVAL).await;
+            tokio::select! {
+                () = sleep(NODE_LIST_INTERVAL) => {}
+                () = process.era_risen.notified() => freshness = Freshness::Current,
+            }
             while process.source.get() != Source::Registry {
                 process.source_changed.notified().await;
             }
+            if freshness == Freshness::Current {
+                let jitter = process.table.borrow_mut().random_fraction();
+                sleep(MAX_RETURN_DELAY.mul_f64(jitter)).await;
+            }
         }
-        match process.registry.list(Kind::Nodes, Freshness::Recent).await {
+        match process.registry.list(Kind::Nodes, freshness).await {
             Ok(reading) => {
                 let batch = process.date(Kind::Nodes, reading);
                 failures = 0;
                 lists += 1;
+                freshness = Freshness::Recent;
                 apply_batch(&process, Kind::Nodes, batch, true);
                 if lists < FIRST_NODE_LISTS {
                     sleep(FIRST_NODE_LIST_INTERVAL).await;
@@ -403,6 +520,9 @@
     }
 }
 
+/// The maximum delay of a registration after a return of the registry, so that not all nodes
+/// write at the same time.
+const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(1000);
 /// The interval between a watcher's lists of the registered nodes; heartbeats announce new
 /// nodes in between.
 const NODE_LIST_INTERVAL: Duration = Duration::from_secs(30);
--- a/crates/process/entry/tests/change_feed.rs
+++ b/crates/process/entry/tests/change_feed.rs
@@ -6,9 +6,19 @@
 use entry::feed::Since;
 use entry::registry::Batch;
 use entry::registry::Event;
+use entry::revision::Revision;
 
-fn batch(revision: u64) -> Batch {
-    Batch { events: vec![Event::Removed(Arc::from(format!("s{revision}")))], revision }
+fn revision(era: u64, number: u64) -> Revision {
+    Revision { era, number }
+}
+
+fn batch(number: u64) -> Batch {
+    batch_of(0, number)
+}
+
+fn batch_of(era: u64, number: u64) -> Batch {
+    let events = vec![Event::Removed(Arc::from(format!("s{number}")))];
+    Batch { events, revision: revision(era, number) }
 }
 
 fn names(since: Since) -> Vec<String> {
@@ -26,9 +36,9 @@
     feed.record(&batch(10), true);
     feed.record(&batch(12), false);
     feed.record(&batch(15), false);
-    assert_eq!(names(feed.since(Some(10))), ["s12", "s15"]);
-    assert_eq!(names(feed.since(Some(12))), ["s15"]);
-    assert_eq!(feed.since(Some(15)), Since::Nothing);
+    assert_eq!(names(feed.since(Some(revision(0, 10)))), ["s12", "s15"]);
+    assert_eq!(names(feed.since(Some(revision(0, 12)))), ["s15"]);
+    assert_eq!(feed.since(Some(revision(0, 15))), Since::Nothing);
 }
 
 #[test]
@@ -36,17 +46,17 @@
     let mut feed = Feed::new(8);
     assert_eq!(feed.since(None), Since::Nothing);
     feed.record(&batch(10), true);
-    assert_eq!(feed.since(None), Since::List { revision: 10 });
-    assert_eq!(feed.since(Some(3)), Since::List { revision: 10 });
+    assert_eq!(feed.since(None), Since::List { revision: revision(0, 10) });
+    assert_eq!(feed.since(Some(revision(0, 3))), Since::List { revision: revision(0, 10) });
 }
 
 #[test]
 fn follower_that_missed_dropped_changes_gets_a_list() {
     let mut feed = Feed::new(2);
     feed.record(&batch(1), true);
-    (2..6).for_each(|revision| feed.record(&batch(revision), false));
-    assert_eq!(feed.since(Some(2)), Since::List { revision: 5 });
-    assert_eq!(names(feed.since(Some(3))), ["s4", "s5"]);
+    (2..6).for_each(|number| feed.record(&batch(number), false));
+    assert_eq!(feed.since(Some(revision(0, 2))), Since::List { revision: revision(0, 5) });
+    assert_eq!(names(feed.since(Some(revision(0, 3)))), ["s4", "s5"]);
 }
 
 #[test]
@@ -55,8 +65,8 @@
     feed.record(&batch(10), true);
     feed.record(&batch(7), false);
     feed.record(&batch(8), true);
-    assert_eq!(feed.revision(), Some(10));
-    assert_eq!(feed.since(Some(9)), Since::List { revision: 10 });
+    assert_eq!(feed.revision(), Some(revision(0, 10)));
+    assert_eq!(feed.since(Some(revision(0, 9))), Since::List { revision: revision(0, 10) });
 }
 
 /// A follower that is ahead of the node that it asks gets nothing, so its state does not go
@@ -65,5 +75,20 @@
 fn follower_that_is_ahead_gets_nothing() {
     let mut feed = Feed::new(8);
     feed.record(&batch(10), true);
-    assert_eq!(feed.since(Some(11)), Since::Nothing);
+    assert_eq!(feed.since(Some(revision(0, 11))), Since::Nothing);
+}
+
+/// Guards against a state from before a return of the registry that counts as newer than the
+/// one after it, or is continued by changes, because its revision has a higher number.
+#[test]
+fn state_of_a_later_era_replaces_one_with_a_higher_number() {
+    let mut feed = Feed::new(8);
+    feed.record(&batch_of(1, 110), true);
+    feed.record(&batch_of(2, 104), true);
+    feed.record(&batch_of(2, 112), false);
+    assert_eq!(feed.revision(), Some(revision(2, 112)));
+    assert_eq!(feed.since(Some(revision(1, 110))), Since::List { revision: revision(2, 112) });
+    assert_eq!(names(feed.since(Some(revision(2, 104)))), ["s112"]);
+    feed.record(&batch_of(1, 200), true);
+    assert_eq!(feed.revision(), Some(revision(2, 112)));
 }
--- a/crates/process/entry/tests/registry_source.rs
+++ b/crates/process/entry/tests/registry_source.rs
@@ -1,9 +1,9 @@
 //! Where nodes get the registry's state from, under random schedules of kills, freezes,
-//! cuts and outages: no node's state goes back, no node in touch stays old, and no node is
-//! without a source.
+//! cuts, outages and returns of the registry from a copy: no node's state goes back, no node
+//! in touch stays old, and no node is without a source.
 //!
-//! The nodes of one data centre run the decisions of the product; the registry is a counter
-//! of revisions.
+//! The nodes of one data centre run the decisions of the product; the registry is a list of
+//! changes, each of which may bring a version of the configuration.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +16,9 @@
 use crate::support::members;
 use crate::support::peer;
 use base::time::Time;
+use entry::era;
 use entry::feed::Feed;
+use entry::feed::Relation;
 use entry::feed::Since;
 use entry::members::HEARTBEAT_INTERVAL;
 use entry::members::Heartbeat;
@@ -24,6 +26,7 @@
 use entry::members::Peer;
 use entry::registry::Batch;
 use entry::registry::Event;
+use entry::revision::Revision;
 use entry::serving::Own;
 use entry::serving::Role;
 use entry::source;
@@ -70,6 +73,9 @@
     role: Role,
     selector: Selector,
     feed: Feed,
+    era: era::Tracker,
+    /// The version of the configuration in use.
+    version: u64,
     started: Time,
     call: Call,
     registry_answers: bool,
@@ -94,13 +100,73 @@
     }
 }
 
+/// How a registry orders its states.
+#[derive(Clone, Copy, PartialEq)]
+enum Order {
+    /// By era and number, as the product does.
+    EraAndNumber,
+    /// By number alone, as if no answer stated an era.
+    NumberAlone,
+}
+
+/// The registry.
+struct Registry {
+    order: Order,
+    era: u64,
+    /// The version that each change wrote or left as it was.
+    versions: Vec<u64>,
+    /// The newest version that the operator has written.
+    newest: u64,
+}
+
+impl Registry {
+    fn revision(&self) -> Revision {
+        Revision { era: self.stated_era().unwrap_or_default(), number: self.versions.len() as u64 }
+    }
+
+    fn stated_era(&self) -> Option<u64> {
+        (self.order == Order::EraAndNumber).then_some(self.era)
+    }
+
+    fn version(&self) -> u64 {
+        self.versions.last().copied().unwrap_or_default()
+    }
+
+    fn write(&mut self, is_new_version: bool) {
+        self.newest += u64::from(is_new_version);
+        self.versions.push(if is_new_version { self.newest } else { self.version() });
+    }
+
+    /// Loses the last changes; the newest version is written again, and so are `others`
+    /// objects.
+    fn restore(&mut self, lost: usize, others: usize) {
+        self.era += 1;
+        self.versions.truncate(self.versions.len().saturating_sub(lost).max(1));
+        for _ in 0..others {
+            self.write(false);
+        }
+        self.versions.push(self.newest);
+    }
+
+    /// The changes since `number`; `None` if the registry does not have that revision.
+    fn changes(&self, number: u64) -> Option<Batch> {
+        let later = self.versions.get(number as usize..)?;
+        let events = later.iter().map(|version| event(*version)).collect();
+        Some(Batch { events, revision: self.revision() })
+    }
+
+    fn list(&self) -> Batch {
+        Batch { events: vec![event(self.version())], revision: self.revision() }
+    }
+}
+
 struct Fleet {
     now: Time,
     rng: ChaCha8Rng,
     nodes: Vec<Node>,
     peers: Vec<Peer>,
-    revision: u64,
-    /// The revision at each step.
+    registry: Registry,
+    /// The version in the registry at each step.
     history: Vec<u64>,
     registry_down_until: Time,
 }
@@ -112,7 +178,7 @@
 }
 
 impl Fleet {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, order: Order) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = rng.random_range(1..10);
         let peers: Vec<Peer> =
@@ -123,6 +189,8 @@
             role: Role::default(),
             selector: Selector::default(),
             feed: Feed::new(4),
+            era: era::Tracker::default(),
+            version: 0,
             started: Time::ZERO,
             call: Call::Idle(Time::ZERO),
             registry_answers: true,
@@ -135,7 +203,8 @@
         };
         let nodes = peers.iter().map(node).collect();
         let (now, history) = (Time::ZERO, Vec::new());
-        Self { now, rng, nodes, peers, revision: 1, history, registry_down_until: Time::ZERO }
+        let registry = Registry { order, era: 1, versions: vec![1], newest: 1 };
+        Self { now, rng, nodes, peers, registry, history, registry_down_until: Time::ZERO }
     }
 
     /// Starts one fault at random.
@@ -145,7 +214,15 @@
         let victim = self.rng.random_range(0..self.nodes.len());
         let now = self.now;
         let node = &mut self.nodes[victim];
-        match self.rng.random_range(0..6) {
+        match self.rng.random_range(0..8) {
+            6 | 7 => {
+                let (lost, others) = (self.rng.random_range(0..15), self.rng.random_range(0..20));
+                self.registry.restore(lost, others);
+                // Without an outage, nodes call on as if nothing had happened.
+                if self.rng.random_bool(0.5) {
+                    self.registry_down_until = until;
+                }
+            }
             0 => node.alive = !node.alive,
             1 => node.frozen_until = until,
             2 | 3 => node.registry_cut = (until, hangs),
@@ -162,6 +239,8 @@
             node.role = Role::default();
             node.selector = Selector::default();
             node.feed = Feed::new(4);
+            node.era = era::Tracker::default();
+            node.version = 0;
             node.call = Call::Idle(now);
             node.registry_answers = true;
         }
@@ -224,7 +303,7 @@
     }
 
     fn watch(&mut self, index: usize, timeout: Time) {
-        let (now, revision) = (self.now, self.revision);
+        let now = self.now;
         let down = self.registry_down_until > now;
         let node = &mut self.nodes[index];
         let (cut_until, hangs) = node.registry_cut;
@@ -238,11 +317,17 @@
             return;
         }
         node.registry_answers = true;
-        let is_list = node.feed.revision().is_none();
-        if is_list || node.feed.revision() < Some(revision) {
-            apply(node, &batch(revision), is_list);
-        }
         node.call = Call::Idle(now + Duration::from_millis(350));
+        let known = node.feed.revision();
+        let changes = known
+            .filter(|known| known.era >= node.era.newest())
+            .and_then(|known| self.registry.changes(known.number));
+        let is_list = changes.is_none();
+        let mut batch = changes.unwrap_or_else(|| self.registry.list());
+        (batch.revision.era, _) = node.era.date(self.registry.stated_era());
+        if batch.revision > known.unwrap_or_default() || is_list {
+            apply(node, &batch, is_list);
+        }
     }
 
     fn poll(&mut self, index: usize, other: usize, until: Time) {
@@ -258,14 +343,21 @@
             }
             return;
         }
+        let asked = self.nodes[index].era.newest();
+        self.nodes[other].era.date(Some(asked));
         let since = self.nodes[other].feed.since(self.nodes[index].feed.revision());
+        let (version, era) = (self.nodes[other].version, self.nodes[other].era.newest());
         let node = &mut self.nodes[index];
+        node.era.date(Some(era));
+        node.version = node.version.max(version);
         node.call = Call::Poll(other, until);
         match since {
             Since::Nothing if now < until => return,
             Since::Nothing => {}
             Since::Changes(batch) => apply(node, &batch, false),
-            Since::List { revision } => apply(node, &batch(revision), true),
+            Since::List { revision } => {
+                apply(node, &Batch { events: vec![event(version)], revision }, true);
+            }
         }
         node.call = Call::Idle(now);
     }
@@ -274,7 +366,10 @@
         let now = self.now;
         let down = self.registry_down_until > now;
         let steps = (BOUND.as_millis() / STEP.as_millis()) as usize;
-        let due = self.history.len().checked_sub(steps).map(|index| self.history[index]);
+        // What the registry has had all the while: a version that it lost counts from the time
+        // at which it has it again.
+        let due = self.history.len().checked_sub(steps);
+        let due = due.and_then(|from| self.history[from..].iter().min().copied());
         let in_touch = |node: &Node| node.is_reachable(now) && node.registry_cut.0 <= now;
         let out_of_touch = self.nodes.iter().filter(|node| !in_touch(node)).count();
         for node in &mut self.nodes {
@@ -286,8 +381,12 @@
             } else if now.since(node.in_touch_since.max(node.untolerated_at)) > BOUND
                 && let Some(due) = due
             {
-                let revision = node.feed.revision();
-                assert!(revision >= Some(due), "{} has {revision:?}, due {due}", node.peer.ip);
+                let (version, revision) = (node.version, node.feed.revision());
+                assert!(
+                    version >= due,
+                    "{} has {version} at {revision:?}, due {due}",
+                    node.peer.ip
+                );
             }
         }
     }
@@ -311,9 +410,10 @@
             }
             self.now = self.now + STEP;
             if self.rng.random_bool(0.3) {
-                self.revision += 1;
+                let is_new_version = self.rng.random_bool(0.5);
+                self.registry.write(is_new_version);
             }
-            self.history.push(self.revision);
+            self.history.push(self.registry.version());
             if step < STEPS && self.rng.random_bool(0.06) {
                 self.disturb();
             }
@@ -330,22 +430,39 @@
     }
 }
 
-fn batch(revision: u64) -> Batch {
-    Batch { events: vec![Event::Removed(Arc::from("server"))], revision }
+/// The event that brings a version; the kind of event does not matter here.
+fn event(version: u64) -> Event {
+    Event::Removed(Arc::from(version.to_string()))
 }
 
 fn apply(node: &mut Node, batch: &Batch, is_list: bool) {
     let before = node.feed.revision();
+    if matches!(node.feed.relate(batch.revision, is_list), Relation::Older | Relation::Gap) {
+        return;
+    }
     node.feed.record(batch, is_list);
     assert!(node.feed.revision() >= before, "the state went back");
+    for event in &batch.events {
+        let Event::Removed(name) = event else { panic!("not a version") };
+        node.version = node.version.max(name.parse().expect("a version"));
+    }
+}
+
+/// The first schedule that fails.
+fn failing_schedule(count: u64, order: Order) -> Option<u64> {
+    (SEED..SEED + count)
+        .find(|seed| std::panic::catch_unwind(|| Fleet::new(*seed, order).run()).is_err())
 }
 
 #[test]
 fn nodes_in_touch_are_never_old() {
-    for seed in SEED..SEED + SCHEDULES {
-        let result = std::panic::catch_unwind(|| Fleet::new(seed).run());
-        assert!(result.is_ok(), "schedule {seed} failed");
-    }
+    assert_eq!(failing_schedule(SCHEDULES, Order::EraAndNumber), None);
+}
+
+/// Shows that the schedules would find states that are ordered by the revision's number alone.
+#[test]
+fn order_by_number_alone_fails() {
+    assert_ne!(failing_schedule(100, Order::NumberAlone), None);
 }
 
 /// The calls to the registry of a data centre do not grow with its nodes.
--- a/crates/process/node/tests/store_return.rs
+++ b/crates/process/node/tests/store_return.rs
@@ -13,6 +13,7 @@
 use crate::deployed::request;
 use fakes::store::Backup;
 use fakes::store::Behavior;
+use fakes::store::EraHeader;
 use fakes::wait::eventually;
 
 mod deployed;
@@ -111,3 +112,99 @@
     let took = wait_for_version(&nodes, 15).await;
     assert!(took < APPLY_BOUND, "took {took:?}");
 }
+
+/// Guards against a second return while the first one is being handled.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_is_in_force_after_two_returns_in_a_row() {
+    let cluster = Cluster::start();
+    let nodes = start_nodes(&cluster).await;
+    let backup = lose_changes(&cluster, &nodes, 4).await;
+    cluster.store.restore(&backup);
+    cluster.store.put("config", "main", &version(13));
+    raise_revision(&cluster, 7);
+    cluster.store.restore(&backup);
+    cluster.store.put("config", "main", &version(15));
+    raise_revision(&cluster, 20);
+    let took = wait_for_version(&nodes, 15).await;
+    assert!(took < APPLY_BOUND, "took {took:?}");
+}
+
+/// Guards against answers whose era is missing, unreadable or an earlier one: they neither
+/// hide a new version nor bring back an older one.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_eras_are_borne() {
+    let cluster = Cluster::start();
+    let nodes = start_nodes(&cluster).await;
+    for (number, header) in
+        [(12, EraHeader::Absent), (15, EraHeader::Unreadable), (18, EraHeader::Earlier)]
+    {
+        cluster.store.set_era_header(header);
+        cluster.store.put("config", "main", &version(number));
+        let took = wait_for_version(&nodes, number).await;
+        assert!(took < APPLY_BOUND, "{header:?}: took {took:?}");
+    }
+    cluster.store.set_era_header(EraHeader::Present);
+    cluster.store.put("config", "main", &version(21));
+    let took = wait_for_version(&nodes, 21).await;
+    assert!(took < APPLY_BOUND, "took {took:?}");
+}
+
+/// Guards against nodes that other nodes can't find after the return, since the copy lacks
+/// their entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_register_again_after_a_return() {
+    let cluster = Cluster::start();
+    let backup = cluster.store.backup();
+    let nodes = start_nodes(&cluster).await;
+    let registered = || cluster.store.names("heatherseam-nodes").len();
+    eventually("all nodes are registered", async || registered() == nodes.len()).await;
+    cluster.store.restore(&backup);
+    assert_eq!(registered(), 0);
+    cluster.publish();
+    eventually("all nodes are registered again", async || registered() == nodes.len()).await;
+}
+
+/// Guards against a node that starts during the return and uses only what the copy has.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_starts_takes_the_newer_version_of_its_peers() {
+    let cluster = Cluster::start();
+    let nodes = start_nodes(&cluster).await;
+    let with_nodes = cluster.store.backup();
+    cluster.store.put("config", "main", &version(12));
+    wait_for_version(&nodes, 12).await;
+    cluster.store.restore(&with_nodes);
+    let late = cluster.start_node();
+    late.wait_until_ready().await;
+    eventually("the peers' version is in use", async || serves(&late, 12).await).await;
+    for node in &nodes {
+        assert!(serves(node, 12).await, "a version went back");
+    }
+}
+
+/// Guards against requests to a server that left before the return, whose entry the copy has.
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_left_before_the_return_gets_nothing() {
+    let cluster = Cluster::start();
+    let nodes = start_nodes(&cluster).await;
+    let backup = cluster.store.backup();
+    let gone = cluster.servers_of("plain").next().expect("a server");
+    cluster.store.delete("servers", &gone.id);
+    for node in &nodes {
+        let is_gone = |line: &Value| {
+            let change = line["change"].as_str().unwrap_or_default();
+            change.starts_with("Gone") && change.contains(&gone.id)
+        };
+        eventually("the server is removed", async || node.log_lines().iter().any(is_gone)).await;
+    }
+    let before = gone.runs().len();
+    cluster.store.restore(&backup);
+    cluster.store.put("config", "main", &version(12));
+    wait_for_version(&nodes, 12).await;
+    for node in &nodes {
+        for number in 0..20 {
+            let id = format!("after-{number}");
+            node.send(request(&id, "GET", "/view/x", "")).await;
+        }
+    }
+    assert_eq!(gone.runs().len(), before);
+}
