entry: servers that say that they leave get no more requests

What callers saw: requests reached servers that had said in all their answers that they leave, for as long as the registry had them as ready, and failed when these ended.

Cause: the header was not read.

Change: the first reply with the notice takes the incarnation out of use at once, whatever its entry says: no send, retry, hedge or new connection; waiting requests go elsewhere, replies in flight are read. A misdirected request's notice counts for the server that replied, if it says which.

--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::HeaderMap;
 use hyper::Request;
@@ -38,6 +39,10 @@
     ServerError,
     /// Replies without the server stamp.
     MissingStamp,
+    /// Replies normally, and says in all replies that it leaves.
+    Leaves,
+    /// Refuses requests with this value of `Retry-After`.
+    TurnsAway(&'static str),
 }
 
 /// A request that a server ran.
@@ -59,6 +64,7 @@
 struct State {
     behavior: Behavior,
     runs: Vec<Run>,
+    arrivals: Vec<Instant>,
 }
 
 /// A running server.
@@ -121,6 +127,11 @@
         self.state.lock().behavior = behavior;
     }
 
+    /// When requests arrived that were addressed to it, in order, whether or not it ran them.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().arrivals.clone()
+    }
+
     /// The requests that it ran, in order.
     pub fn runs(&self) -> Vec<Run> {
         self.state.lock().runs.clone()
@@ -139,12 +150,23 @@
         set_header(&mut reply, "heatherseam-instance-id", &server.id);
         return Ok(reply);
     }
-    let behavior = server.state.lock().behavior;
-    if behavior == Behavior::Refuses {
+    let behavior = {
+        let mut state = server.state.lock();
+        state.arrivals.push(Instant::now());
+        state.behavior
+    };
+    let retry_after = match behavior {
+        Behavior::TurnsAway(value) => Some(value),
+        _ => None,
+    };
+    if behavior == Behavior::Refuses || retry_after.is_some() {
         let mut reply = http::text(StatusCode::SERVICE_UNAVAILABLE, "");
         set_header(&mut reply, "heatherseam-request-id", &id);
         set_header(&mut reply, "heatherseam-not-executed", "1");
         set_header(&mut reply, "heatherseam-server-load", "4,12,4");
+        if let Some(value) = retry_after {
+            set_header(&mut reply, "retry-after", value);
+        }
         return Ok(reply);
     }
     let method = request.method().to_string();
@@ -166,6 +188,9 @@
     if behavior != Behavior::MissingStamp {
         set_header(&mut reply, "heatherseam-server-stamp", &format!("{}.{id}", server.id));
     }
+    if behavior == Behavior::Leaves {
+        set_header(&mut reply, "server-leaving", "1");
+    }
     let echoed_id = if behavior == Behavior::WrongRequestId { "another" } else { &id };
     set_header(&mut reply, "heatherseam-request-id", echoed_id);
     set_header(&mut reply, "heatherseam-server-load", "1,0,4");
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -24,6 +24,7 @@
 use crate::process::Process;
 use crate::protocol::ReplyHeaders;
 use crate::upstream;
+use crate::watcher;
 use base::entity::Attempt;
 use base::entity::Server;
 use base::time::Time;
@@ -206,6 +207,9 @@
     };
     let (parts, body) = response.into_parts();
     let reply_headers = process.protocol.read_reply(parts.status.as_u16(), &parts.headers);
+    if reply_headers.leaving {
+        on_leaving(process, server, &reply_headers);
+    }
     let Some(body) = read_body(body).await else {
         return AttemptOutcome::Unknown("the reply broke off");
     };
@@ -223,6 +227,20 @@
     classify(parts, body, reply_headers, guard)
 }
 
+/// Stops the use of the server that has replied that it leaves. A misdirected request was
+/// answered by another server than the one it was sent to.
+fn on_leaving(process: &Process, server: Server, headers: &ReplyHeaders) {
+    let incarnation = match &headers.server_id {
+        Some(id) => process.fleet.borrow().incarnation(id),
+        None if headers.misdirected => None,
+        None => Some(process.table.borrow().record(server).incarnation.clone()),
+    };
+    if let Some(incarnation) = incarnation {
+        watcher::server_leaves(process, &incarnation);
+        process.departures.borrow_mut().noticed(process.clock.now(), incarnation);
+    }
+}
+
 /// The outcome of a complete reply to this request.
 fn classify(
     parts: Parts,
--- a/crates/process/entry/src/heartbeat.rs
+++ b/crates/process/entry/src/heartbeat.rs
@@ -105,6 +105,7 @@
             sends_per_second: process.sends_per_second.get(),
             slowness: process.slowness.get(),
             known: members.known_to_send(number),
+            departures: process.departures.borrow_mut().to_send(process.clock.now(), number),
         };
         (heartbeat, members.targets(process.clock.now(), number, serving, leaving))
     };
@@ -140,6 +141,9 @@
                 continue;
             }
         };
+        for server in &heartbeat.departures {
+            watcher::server_leaves(&process, server);
+        }
         let name = heartbeat.name.clone();
         let now = process.clock.now();
         let ip = from.ip();
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 
 pub mod clock;
+pub mod departures;
 pub mod era;
 pub mod feed;
 pub mod members;
--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -24,6 +24,7 @@
 use base::time::Time;
 use replica::record::Distance;
 use replica::table::Locality;
+use site::register::Incarnation;
 
 /// An entry node, whether it runs or not.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +77,9 @@
     pub slowness: u32,
     /// Some of the nodes that it knows.
     pub known: Vec<Peer>,
+    /// Some of the servers that have told the sender that they leave.
+    #[serde(default)]
+    pub departures: Vec<Incarnation>,
 }
 
 /// The slowness, in percent, from which a VM counts as slow.
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::departures::Departures;
 use crate::era;
 use crate::era::Notice;
 use crate::feed::Feed;
@@ -50,6 +51,8 @@
     /// The routes of the configuration in use; `None` until one is received.
     pub(crate) router: RefCell<Option<Rc<Router>>>,
     pub(crate) fleet: RefCell<Fleet>,
+    /// The servers that have told this node that they leave.
+    pub(crate) departures: RefCell<Departures>,
     pub(crate) table: RefCell<Table>,
     pub(crate) budget: RefCell<Budget>,
     pub(crate) route_stats: RefCell<StatsByRoute>,
--- a/crates/process/entry/src/protocol.rs
+++ b/crates/process/entry/src/protocol.rs
@@ -2,6 +2,7 @@
 //! replies and lookups.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -32,6 +33,10 @@
     pub misdirected: bool,
     /// The load that the server reported.
     pub load: Option<Load>,
+    /// Whether the server leaves and must get no more requests.
+    pub leaving: bool,
+    /// The id of the server that replied, if it states one.
+    pub server_id: Option<Arc<str>>,
 }
 
 /// A caller's lookup of entry nodes.
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -183,6 +183,7 @@
         config: RefCell::new(None),
         router: RefCell::new(None),
         fleet: RefCell::new(Fleet::new(settings.fleet)),
+        departures: RefCell::default(),
         table: RefCell::new(Table::new(locality, rng.random())),
         budget: RefCell::new(budget),
         route_stats: RefCell::new(StatsByRoute::default()),
--- a/crates/process/entry/tests/support/mod.rs
+++ b/crates/process/entry/tests/support/mod.rs
@@ -62,5 +62,6 @@
         sends_per_second: 0,
         slowness: 100,
         known: Vec::new(),
+        departures: Vec::new(),
     }
 }
--- a/crates/version/site/src/fleet.rs
+++ b/crates/version/site/src/fleet.rs
@@ -213,6 +213,11 @@
         self.entries.remove(id).map(|entry| Change::Leaving(entry.incarnation))
     }
 
+    /// The incarnation of the server `id` that may get requests.
+    pub fn incarnation(&self, id: &str) -> Option<Incarnation> {
+        self.entries.get(id).map(|entry| entry.incarnation.clone())
+    }
+
     /// The incarnations that were seen leaving.
     pub fn drained(&self) -> impl Iterator<Item = Incarnation> {
         self.drained.iter().map(|(id, (born, _))| Incarnation { id: Arc::clone(id), born: *born })
