replica, gather, entry: a server that turns away with Retry-After gets nothing meanwhile

Cause: Retry-After of servers was not read.

Change: from a 503 with a positive Retry-After on, the server is not chosen, and requests that wait for a connection to it go elsewhere. After the time, and up to 0.5 s later at random, one trial at a time is sent; a reply to it ends that, another outcome delays the next by 0.25 s. Replies to requests from before say nothing. A service whose servers all turn away is left out at once with the cause 'turned away', or the request is refused unsent with the time until enough services are expected to accept it.

--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -176,8 +176,8 @@
     let now = process.clock.now();
     // Checked just before sending: while the attempt waited for a connection, the server
     // may have started to drain, disappeared or been replaced.
-    if !process.table.borrow().may_send(server) {
-        return AttemptOutcome::NotSent("it is leaving");
+    if !process.table.borrow().may_send(now, server) {
+        return AttemptOutcome::NotSent("it is leaving, or wants no requests");
     }
     let left = caller_request.caller_deadline.since(now);
     if left.is_zero() {
@@ -210,6 +210,11 @@
     if reply_headers.leaving {
         on_leaving(process, server, &reply_headers);
     }
+    if let Some(asked) = reply_headers.retry_after {
+        let now = process.clock.now();
+        process.update_table(server, |table| table.turned_away(now, server, asked));
+        log::info!(target: "servers", server = process.server_id(server).as_ref(), asked_ms = asked.as_millis() as u64; "A server wants no requests for a while.");
+    }
     let Some(body) = read_body(body).await else {
         return AttemptOutcome::Unknown("the reply broke off");
     };
--- a/crates/process/entry/src/protocol.rs
+++ b/crates/process/entry/src/protocol.rs
@@ -33,6 +33,8 @@
     pub misdirected: bool,
     /// The load that the server reported.
     pub load: Option<Load>,
+    /// For how long the server wants no more requests from this node.
+    pub retry_after: Option<Duration>,
     /// Whether the server leaves and must get no more requests.
     pub leaving: bool,
     /// The id of the server that replied, if it states one.
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -28,6 +28,7 @@
 use crate::read::Rejection;
 use crate::serving::SEND_COST;
 use crate::trace::Trace;
+use base::entity::Service;
 use base::time::Time;
 use gather::event;
 use gather::event::Cause;
@@ -35,6 +36,7 @@
 use gather::machine::Machine;
 use gather::merge;
 use gather::plan::Plan;
+use gather::refusal;
 use site::router::Route;
 use site::router::Router;
 
@@ -170,7 +172,10 @@
             },
         },
         Outcome::Failure(reply) => forward_reply(reply),
-        Outcome::NotRun => empty_answer(StatusCode::SERVICE_UNAVAILABLE, Some(DEFAULT_RETRY_AFTER)),
+        Outcome::NotRun => {
+            let after = retry_after(process, route, &response.missing);
+            empty_answer(StatusCode::SERVICE_UNAVAILABLE, Some(after))
+        }
         Outcome::Unknown if response.missing.iter().any(|(_, cause)| *cause == Cause::Timeout) => {
             empty_answer(StatusCode::GATEWAY_TIMEOUT, None)
         }
@@ -178,6 +183,19 @@
     }
 }
 
+/// When the caller of a request that was not run may come back: once the servers that turn
+/// requests away are expected to accept it.
+fn retry_after(process: &Process, route: &Route, missing: &[(Service, Cause)]) -> Duration {
+    let now = process.clock.now();
+    let table = process.table.borrow();
+    let wait = |(service, _): &(Service, Cause)| {
+        table.accepts_at(now, *service).map_or(Duration::ZERO, |at| at.since(now))
+    };
+    let optional = route.fanout.width() - route.fanout.min_services();
+    let wait = refusal::retry_after(missing.iter().map(wait).collect(), optional);
+    wait.max(DEFAULT_RETRY_AFTER)
+}
+
 /// Records a request in the metrics, and logs it unless it was answered completely within
 /// the objective. Returns whether it was answered completely and in time.
 fn record_outcome(
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -123,6 +123,8 @@
     Busy,
     /// Its servers refused the request.
     Refused,
+    /// Its servers all turn requests away for a time.
+    TurnedAway,
     /// Its servers failed.
     Failed,
     /// The budget of extra sends is used up.
@@ -138,6 +140,7 @@
             Self::NoServer => "no server",
             Self::Busy => "busy",
             Self::Refused => "refused",
+            Self::TurnedAway => "turned away",
             Self::Failed => "failed",
             Self::Budget => "budget spent",
             Self::Timeout => "timeout",
@@ -157,6 +160,10 @@
         tried: &[Server],
     ) -> Option<Selection>;
 
+    /// When `service` accepts a request again whose servers all turn requests away; `None` if
+    /// it has none or one of them accepts requests.
+    fn accepts_at(&mut self, now: Time, service: Service) -> Option<Time>;
+
     /// Counts the first send to `service`.
     fn first_send(&mut self, now: Time, service: Service);
 
--- a/crates/request/gather/src/lib.rs
+++ b/crates/request/gather/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod machine;
 pub mod merge;
 pub mod plan;
+pub mod refusal;
 pub mod resources;
 
 mod progress;
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -106,6 +106,9 @@
                     chosen.push((index, selection))
                 }
                 Some(_) => self.progress[index].cause = Cause::Busy,
+                None if balancer.accepts_at(now, self.plan.services[index]).is_some() => {
+                    self.progress[index].cause = Cause::TurnedAway;
+                }
                 None => {}
             }
         }
@@ -141,7 +144,8 @@
         let Some(selection) =
             balancer.choose(now, service, self.plan.usual_service_time, &progress.tried)
         else {
-            return self.no_server_left(now, index, purpose);
+            let accepts_at = balancer.accepts_at(now, service);
+            return self.no_server_left(now, index, purpose, accepts_at);
         };
         if !self.plan.admits(now, &selection) {
             return self.defer(now, index, purpose, Cause::Busy);
@@ -225,11 +229,21 @@
     }
 
     /// Handles a service whose servers were all tried: if none may have run the request
-    /// and at least one refused, they are tried again after a delay.
-    fn no_server_left(&mut self, now: Time, index: usize, purpose: Purpose) {
+    /// and at least one refused, they are tried again after a delay. `accepts_at` is when the
+    /// first of them accepts requests, if all turn them away.
+    fn no_server_left(
+        &mut self,
+        now: Time,
+        index: usize,
+        purpose: Purpose,
+        accepts_at: Option<Time>,
+    ) {
         let progress = &mut self.progress[index];
+        if accepts_at.is_some() && progress.in_flight == 0 && progress.possible_runs == 0 {
+            progress.cause = Cause::TurnedAway;
+        }
         let refused = progress.in_flight == 0 && progress.possible_runs == 0 && progress.reached;
-        let again = now + REFUSED_RETRY_DELAY;
+        let again = accepts_at.unwrap_or(now).max(now + REFUSED_RETRY_DELAY);
         if purpose != Purpose::Hedge && refused && again < self.plan.soft_deadline {
             progress.tried.clear();
             progress.next_attempt_at = again;
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -30,6 +30,10 @@
         self.table.choose(now, service, usual_service_time, used_fraction, tried)
     }
 
+    fn accepts_at(&mut self, now: Time, service: Service) -> Option<Time> {
+        self.table.accepts_at(now, service)
+    }
+
     fn first_send(&mut self, now: Time, service: Service) {
         self.budget.first_send(now, service);
     }
--- a/crates/request/gather/tests/refusal_rounds.rs
+++ b/crates/request/gather/tests/refusal_rounds.rs
@@ -32,6 +32,10 @@
         Some(Selection { server: free, expected_latency: usual_service_time, saturated: false })
     }
 
+    fn accepts_at(&mut self, _now: Time, _service: Service) -> Option<Time> {
+        None
+    }
+
     fn first_send(&mut self, _now: Time, _service: Service) {}
 
     fn used_fraction(&mut self, _now: Time, _service: Service) -> f64 {
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -52,6 +52,12 @@
 /// The weight of a new sample of a server's failure rate.
 const FAILURE_SAMPLE_WEIGHT: f64 = 0.15;
 
+/// The maximum delay of the first trial after the time for which a server wanted no requests, so
+/// that the trials of many nodes are spread.
+pub(crate) const MAX_TRIAL_DELAY: Duration = Duration::from_millis(500);
+/// The delay of the next trial after one that failed.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// One server.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -87,6 +93,9 @@
     pub consecutive_failures: u32,
     /// The end of its ejection.
     pub ejected_until: Time,
+    /// When the next trial may be sent to a server that turned requests away; `None` if it
+    /// gets all requests.
+    trial_at: Option<Time>,
 }
 
 impl Record {
@@ -114,7 +123,34 @@
             failure_at: Time::ZERO,
             consecutive_failures: 0,
             ejected_until: Time::ZERO,
+            trial_at: None,
+        }
+    }
+
+    /// Whether it may get a request: it has turned none away, or it is time for a trial and
+    /// none is in flight.
+    pub fn accepts(&self, now: Time) -> bool {
+        let Some(trial_at) = self.trial_at else { return true };
+        now >= trial_at && !self.start_times.iter().any(|started| *started >= trial_at)
+    }
+
+    /// When the next trial may be sent; `None` if it gets all requests.
+    pub fn trial_at(&self) -> Option<Time> {
+        self.trial_at
+    }
+
+    /// Records that it wants no requests before `trial_at`.
+    pub(crate) fn turned_away(&mut self, trial_at: Time) {
+        self.trial_at = self.trial_at.max(Some(trial_at));
+    }
+
+    /// Records the end of an attempt that was started at `started`: a trial decides whether the
+    /// server gets all requests again. An attempt from before the time says nothing of it.
+    pub(crate) fn trial_ended(&mut self, now: Time, started: Time, replied: bool) {
+        if self.trial_at.is_none_or(|trial_at| started < trial_at) {
+            return;
         }
+        self.trial_at = (!replied).then(|| now + TRIAL_INTERVAL);
     }
 
     /// The number of this node's requests that are in flight there.
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -8,7 +8,8 @@
 //! A server in another data centre costs more than its time, since traffic to it
 //! is charged. The server with the lowest cost is chosen.
 //!
-//! Invariants: a draining server is never chosen. An index keeps its meaning while
+//! Invariants: a draining server is never chosen. Nor is one that turned requests away, until
+//! the time that it asked for is over; then single trials decide when it is used again. An index keeps its meaning while
 //! the process runs; another incarnation gets a new index.
 
 use std::collections::HashMap;
@@ -23,6 +24,7 @@
 
 use crate::record::Distance;
 use crate::record::Load;
+use crate::record::MAX_TRIAL_DELAY;
 use crate::record::Record;
 use base::entity::Server;
 use base::entity::Service;
@@ -319,7 +321,7 @@
         let mut best: Option<(Duration, Server, Duration)> = None;
         for index in 0..self.servers_by_service[service].len() {
             let server = self.servers_by_service[service][index];
-            if tried.contains(&server) {
+            if tried.contains(&server) || !self.servers[server].accepts(now) {
                 continue;
             }
             let jitter = 1.0 + COST_JITTER * self.rng.random::<f64>();
@@ -337,9 +339,27 @@
         Some(Selection { server, expected_latency, saturated })
     }
 
-    /// Whether a server may still get requests: it is in use.
-    pub fn may_send(&self, server: Server) -> bool {
-        self.servers[server].in_use
+    /// Whether a server may still get a request that it was chosen for: it is in use, and has
+    /// turned none away since.
+    pub fn may_send(&self, now: Time, server: Server) -> bool {
+        let record = &self.servers[server];
+        record.in_use && record.trial_at().is_none_or(|trial_at| now >= trial_at)
+    }
+
+    /// Records that a server wants no requests for the time `asked`.
+    pub fn turned_away(&mut self, now: Time, server: Server, asked: Duration) {
+        let spread = MAX_TRIAL_DELAY.min(asked).mul_f64(self.rng.random());
+        self.servers[server].turned_away(now + asked + spread);
+    }
+
+    /// When a service accepts a request again whose servers all turn requests away; `None` if
+    /// it has no servers or one of them accepts requests.
+    pub fn accepts_at(&self, now: Time, service: Service) -> Option<Time> {
+        let servers = &self.servers_by_service[service];
+        if servers.iter().any(|server| self.servers[*server].accepts(now)) {
+            return None;
+        }
+        servers.iter().filter_map(|server| self.servers[*server].trial_at()).min()
     }
 
     /// Records that an attempt at `server` is started.
@@ -361,6 +381,10 @@
     ) -> Option<Duration> {
         let record = &mut self.servers[server];
         record.remove_in_flight(started);
+        if observation != Observation::NotSent {
+            let replied = matches!(observation, Observation::Replied { .. });
+            record.trial_ended(now, started, replied);
+        }
         let took = now.since(sent).saturating_sub(network_time(record.distance));
         let ratio = took.as_secs_f64() / usual_service_time.as_secs_f64().max(f64::MIN_POSITIVE);
         match observation {
--- a/crates/version/site/src/router.rs
+++ b/crates/version/site/src/router.rs
@@ -130,6 +130,14 @@
         }
     }
 
+    /// The minimum number of services that an answer must cover.
+    pub fn min_services(&self) -> usize {
+        match self {
+            Self::One(_) => 1,
+            Self::All { min_shards, .. } => *min_shards,
+        }
+    }
+
     /// The services that a request is sent to; `fraction` is a random number from
     /// 0 to 1 that picks one by weight.
     pub fn services(&self, fraction: f64) -> Arc<[Service]> {
