soak: random faults on the real processes, checked from callers and servers

An example of the stand-ins' crate, run by scripts/soak: a store, twelve servers behind proxies and nodes of heatherseam serve; faults drawn from a seed, in series and overlapping: signals, cuts (silent, one way, reset, delayed), outages and returns of the store, servers that fail, crash, drain, say that they leave or turn requests away, bursts of versions. Checked: whole and merged answers, true refusals, one run of what may not repeat, versions in force within 5 s and never back, servers that left, times without requests, planned stops, recovery, memory and descriptors.

--- /dev/null
+++ b/crates/fakes/examples/soak/caller.rs
@@ -0,0 +1,188 @@
+//! The callers: they keep connections until the node closes them, and record each request.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use parking_lot::Mutex;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::system::HOST;
+use crate::system::Node;
+use crate::system::System;
+use crate::system::TIMEOUT;
+use fakes::http;
+use fakes::http::Connection;
+
+/// The pause between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// What a request asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// All shards.
+    Search,
+    /// One server.
+    View,
+    /// One server, once at most.
+    Book,
+    /// The route that a version added.
+    Version(u64),
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// The stamps of the servers' replies.
+    pub stamps: Vec<String>,
+    /// The number of missing shards.
+    pub missing: usize,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its id.
+    pub id: String,
+    /// The number of the node.
+    pub node: usize,
+    /// The node's process, before and after.
+    pub lifetimes: (u32, u32),
+    /// What it asked for.
+    pub kind: Kind,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// The answer; `None` if the connection ended before it.
+    pub answer: Option<Answer>,
+}
+
+/// All requests of a run.
+#[derive(Default)]
+pub struct Calls {
+    calls: Mutex<Vec<Call>>,
+    next: AtomicU64,
+    ended: AtomicBool,
+}
+
+/// A caller's request.
+pub fn request(id: &str, method: &str, path: &str) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = method.parse().expect("a method");
+    *request.uri_mut() = path.parse().expect("a path");
+    let timeout = TIMEOUT.as_millis().to_string();
+    for (name, value) in
+        [("host", HOST), ("heatherseam-request-id", id), ("heatherseam-deadline-ms", &timeout)]
+    {
+        request.headers_mut().insert(name, value.parse().expect("a value"));
+    }
+    request
+}
+
+impl Calls {
+    /// Starts the callers of all nodes.
+    pub fn start(self: &Arc<Self>, system: &Arc<System>) {
+        for (number, node) in system.nodes().iter().enumerate() {
+            for kinds in [&[Kind::View, Kind::Search, Kind::Book][..], &[Kind::Version(0)][..]] {
+                let (calls, system, node) =
+                    (Arc::clone(self), Arc::clone(system), Arc::clone(node));
+                tokio::spawn(async move { calls.call(&system, number, &node, kinds).await });
+            }
+        }
+    }
+
+    /// Ends the callers; returns all requests.
+    pub async fn end(&self) -> Vec<Call> {
+        self.ended.store(true, Ordering::Relaxed);
+        sleep(TIMEOUT).await;
+        self.calls.lock().clone()
+    }
+
+    async fn call(&self, system: &System, number: usize, node: &Node, kinds: &[Kind]) {
+        let mut connection: Option<Connection> = None;
+        let mut turn = 0;
+        while !self.ended.load(Ordering::Relaxed) {
+            sleep(PAUSE).await;
+            let kind = match kinds[turn % kinds.len()] {
+                // Every third request asks for a version before the newest one.
+                Kind::Version(_) => {
+                    Kind::Version(system.version().saturating_sub(u64::from(turn % 3 == 2)).max(1))
+                }
+                kind => kind,
+            };
+            turn += 1;
+            let opened = match connection.take() {
+                Some(connection) => Some(connection),
+                None => match timeout(TIMEOUT, Connection::open(node.address)).await {
+                    Ok(Ok(connection)) => Some(connection),
+                    _ => None,
+                },
+            };
+            let Some(mut opened) = opened else { continue };
+            let id = format!("r{:x}", self.next.fetch_add(1, Ordering::Relaxed));
+            let lifetime = || node.lifetime.load(Ordering::Relaxed);
+            let (before, sent) = (lifetime(), Instant::now());
+            let (method, path) = match kind {
+                Kind::Search => ("GET", "/search/x".to_owned()),
+                Kind::View => ("GET", "/view/x".to_owned()),
+                Kind::Book => ("POST", "/book/x".to_owned()),
+                Kind::Version(version) => ("GET", format!("/v-{version}/x")),
+            };
+            let reply = timeout(TIMEOUT * 2, opened.send(request(&id, method, &path))).await;
+            let answer = match reply {
+                Ok(Ok(response)) => {
+                    let closes = response.headers().get("connection").is_some_and(|v| v == "close");
+                    connection = (!closes).then_some(opened);
+                    Some(answer(response))
+                }
+                _ => None,
+            };
+            let (ended, lifetimes) = (Instant::now(), (before, lifetime()));
+            let call = Call { id, node: number, lifetimes, kind, sent, ended, answer };
+            self.calls.lock().push(call);
+        }
+    }
+}
+
+fn answer(response: Response<Bytes>) -> Answer {
+    let headers = response.headers();
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let stamps = match text("heatherseam-part-stamps") {
+        "" => text("heatherseam-server-stamp"),
+        parts => parts,
+    };
+    Answer {
+        status: response.status().as_u16(),
+        stamps: stamps.split(',').map(|stamp| stamp.trim().to_owned()).collect(),
+        missing: text("heatherseam-missing-parts").parse().unwrap_or(0),
+        body: response.body().clone(),
+    }
+}
+
+/// Whether the metrics of a node can be read; returns its resident memory in bytes and its open
+/// descriptors.
+pub fn resources(node: &Node) -> Option<(u64, usize)> {
+    let process = node.process.load(Ordering::Relaxed);
+    let statm = std::fs::read_to_string(format!("/proc/{process}/statm")).ok()?;
+    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    let descriptors = std::fs::read_dir(format!("/proc/{process}/fd")).ok()?.count();
+    Some((pages * 4096, descriptors))
+}
+
+/// Whether a node answers.
+pub async fn answers(node: &Node) -> bool {
+    http::send(node.address, request("0", "GET", "/view/x")).await.is_ok_and(|r| r.status() == 200)
+}
--- /dev/null
+++ b/crates/fakes/examples/soak/schedule.rs
@@ -0,0 +1,133 @@
+//! The faults of a run, drawn from its seed.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::link::Mode;
+use fakes::instance;
+use fakes::store;
+
+/// What is done to the system.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// A node is stopped by a signal and goes on later.
+    Freeze { node: usize },
+    /// A node is killed and starts again.
+    Kill { node: usize },
+    /// All nodes are killed and start again.
+    KillAll,
+    /// A node is asked to stop, and starts again once it has.
+    Stop { node: usize },
+    /// The settings of a node are read again.
+    Reload { node: usize },
+    /// The connections of a node to the store misbehave.
+    StoreLink { node: usize, mode: Mode },
+    /// The store misbehaves.
+    Store { behavior: store::Behavior },
+    /// The store returns from a copy that was taken `age` before.
+    Return { age: Duration },
+    /// The store drops its history.
+    Compact,
+    /// A server misbehaves.
+    Server { server: usize, behavior: instance::Behavior },
+    /// The connections to a server misbehave.
+    ServerLink { server: usize, mode: Mode },
+    /// A server drains, leaves and is replaced.
+    Drain { server: usize },
+    /// A server says in its replies that it leaves, and its entry stays as it is; it is replaced.
+    Depart { server: usize },
+    /// A server crashes and is replaced.
+    Crash { server: usize },
+    /// The operator writes versions in quick succession.
+    Versions { count: u32 },
+}
+
+/// A fault, when it starts and how long it lasts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Step {
+    /// The number of the step.
+    pub number: usize,
+    /// The time from the start of the run.
+    pub at: Duration,
+    /// How long it lasts, if that has a meaning for it.
+    pub lasts: Duration,
+    /// The fault.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (at, lasts) = (self.at.as_millis(), self.lasts.as_millis());
+        write!(f, "{:>3}  {at:>6} ms  {lasts:>5} ms  {:?}", self.number, self.fault)
+    }
+}
+
+/// The faults of seed `seed` within `length`, for so many nodes and servers.
+pub fn draw(seed: u64, length: Duration, nodes: usize, servers: usize) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut at = Duration::from_millis(500);
+    let mut steps = Vec::new();
+    while at < length {
+        let lasts = Duration::from_millis(rng.random_range(300..4000));
+        let fault = fault(&mut rng, nodes, servers);
+        steps.push(Step { number: steps.len(), at, lasts, fault });
+        // Faults overlap: the next one often starts before this one ends.
+        at += Duration::from_millis(rng.random_range(100..1800));
+    }
+    steps
+}
+
+fn fault(rng: &mut ChaCha8Rng, nodes: usize, servers: usize) -> Fault {
+    let node = rng.random_range(0..nodes);
+    let server = rng.random_range(0..servers);
+    match rng.random_range(0..20) {
+        0 | 1 => Fault::Freeze { node },
+        2 | 3 => Fault::Kill { node },
+        4 => Fault::KillAll,
+        5 | 6 => Fault::Stop { node },
+        7 => Fault::Reload { node },
+        8 | 9 => Fault::StoreLink { node, mode: mode(rng) },
+        10 => Fault::Store { behavior: store_behavior(rng) },
+        11 | 12 => Fault::Return { age: Duration::from_millis(rng.random_range(500..8000)) },
+        13 => Fault::Compact,
+        14 => Fault::ServerLink { server, mode: mode(rng) },
+        15 => Fault::Drain { server },
+        16 => Fault::Depart { server },
+        17 => Fault::Crash { server },
+        18 => Fault::Versions { count: rng.random_range(2..8) },
+        _ => Fault::Server { server, behavior: server_behavior(rng) },
+    }
+}
+
+fn mode(rng: &mut ChaCha8Rng) -> Mode {
+    match rng.random_range(0..4) {
+        0 => Mode::Delayed(Duration::from_millis(rng.random_range(5..200))),
+        1 => Mode::Silent,
+        2 => Mode::OneWay,
+        _ => Mode::Reset,
+    }
+}
+
+fn store_behavior(rng: &mut ChaCha8Rng) -> store::Behavior {
+    match rng.random_range(0..3) {
+        0 => store::Behavior::Unavailable,
+        1 => store::Behavior::Hangs,
+        _ => store::Behavior::ResetsConnections,
+    }
+}
+
+fn server_behavior(rng: &mut ChaCha8Rng) -> instance::Behavior {
+    match rng.random_range(0..7) {
+        0 => instance::Behavior::Slow(Duration::from_millis(rng.random_range(50..600))),
+        1 => instance::Behavior::Refuses,
+        2 => instance::Behavior::ResetsAfterRun,
+        3 => instance::Behavior::WrongRequestId,
+        4 => instance::Behavior::ServerError,
+        5 => instance::Behavior::MissingStamp,
+        _ => instance::Behavior::TurnsAway("1.5"),
+    }
+}
--- /dev/null
+++ b/crates/fakes/examples/soak/system.rs
@@ -0,0 +1,598 @@
+//! The system under test: a store, servers and the processes of the nodes, and what is done
+//! to them. Processes that end are started again.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use serde_json::Value;
+use serde_json::json;
+use tokio::process::Command;
+use tokio::time::sleep;
+
+use crate::link::Link;
+use crate::link::Mode;
+use crate::schedule::Fault;
+use crate::schedule::Step;
+use fakes::http;
+use fakes::instance;
+use fakes::instance::Instance;
+use fakes::store;
+use fakes::store::Backup;
+use fakes::store::Store;
+
+/// The host of all routes.
+pub const HOST: &str = "desk.example";
+/// The services, and the first byte of their records; all but the last are shards.
+pub const SERVICES: [(&str, u8); 4] =
+    [("shard-a", 1), ("shard-b", 2), ("shard-c", 3), ("plain", 9)];
+/// The number of records of an answer.
+pub const TOP_K: usize = 4;
+/// The number of servers of each service.
+const REPLICAS: usize = 3;
+/// The route's timeout.
+pub const TIMEOUT: Duration = Duration::from_millis(2000);
+/// The number of routes of past versions that a version has.
+const KEPT_ROUTES: u64 = 8;
+/// The delay until an ended process is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// How long a leaving server goes on.
+const DEPARTURE: Duration = Duration::from_secs(6);
+/// How long the store keeps the entry of a server that has ended.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(3600);
+/// The time from SIGTERM within which a process ends.
+const GRACE: Duration = Duration::from_secs(6);
+/// Within which the operator and the servers write again after a return.
+const REWRITE: Duration = Duration::from_millis(1500);
+/// How long backups are kept.
+const BACKUP_AGE: Duration = Duration::from_secs(10);
+
+/// A fault of a stand-in that breaks a promise, so that a run must report it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// A server whose records differ from those of the others.
+    OtherRecords,
+    /// A server that runs requests and says that it did not.
+    RunsAndRefuses,
+    /// The store confirms versions and does not keep them.
+    LostVersions,
+    /// The store confirms that servers drain and does not keep it.
+    LostDrains,
+}
+
+/// A span; open if it has no end yet.
+pub type Span = (Instant, Option<Instant>);
+
+/// The process of a node.
+pub struct Node {
+    /// Its caller address.
+    pub address: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    store_link: Link,
+    /// The id of the running process; zero while there is none.
+    pub process: AtomicU32,
+    /// The number of processes so far.
+    pub lifetime: AtomicU32,
+    /// When it was frozen, killed, stopped, cut or not ready.
+    pub disturbed: Mutex<Vec<Span>>,
+    /// When it was asked to stop, until it may no longer be stopping.
+    pub stops: Mutex<Vec<Span>>,
+}
+
+/// A server in use.
+pub struct Server {
+    /// The stand-in.
+    pub instance: Arc<Instance>,
+    link: Arc<Link>,
+    service: usize,
+    born: u64,
+    state: &'static str,
+}
+
+/// A server that left.
+#[derive(Clone)]
+pub struct Departure {
+    /// Its id.
+    pub id: String,
+    /// When the store confirmed it, or when its replies began to say so.
+    pub at: Instant,
+    /// Whether only its replies say so.
+    pub by_notice: bool,
+}
+
+/// Everything.
+pub struct System {
+    store: Store,
+    nodes: Vec<Arc<Node>>,
+    servers: Mutex<Vec<Server>>,
+    /// All stand-ins that ever ran.
+    instances: Mutex<Vec<Arc<Instance>>>,
+    /// The servers that leave and have not ended.
+    departing: Mutex<Vec<Server>>,
+    departures: Mutex<Vec<Departure>>,
+    versions: Mutex<Vec<(Instant, u64)>>,
+    /// When the store misbehaved.
+    store_disturbed: Mutex<Vec<Span>>,
+    backups: Mutex<Vec<(Instant, Backup)>>,
+    servers_started: AtomicU32,
+    ended: AtomicBool,
+    plant: Option<Plant>,
+}
+
+fn config(version: u64) -> Value {
+    let timeout = TIMEOUT.as_millis() as u64;
+    let base = |name: &str, prefix: String, kind: &str| {
+        json!({ "name": name, "host": HOST, "path_prefix": prefix, "route_type": kind,
+                "timeout_ms": timeout, "objective_ms": 500, "priority": 1, "max_attempts": 2 })
+    };
+    let to = |mut route: Value, key: &str, value: Value| {
+        route[key] = value;
+        route
+    };
+    let mut search = base("search", "/search/".to_owned(), "idempotent");
+    search["top_k"] = json!(TOP_K);
+    search["min_coverage"] = json!(0.6);
+    let mut routes = vec![
+        to(search, "gather", json!(["shard-a", "shard-b", "shard-c"])),
+        to(base("view", "/view/".to_owned(), "idempotent"), "service", json!("plain")),
+        to(base("book", "/book/".to_owned(), "non_idempotent"), "service", json!("plain")),
+    ];
+    for number in version.saturating_sub(KEPT_ROUTES).max(1)..=version {
+        let route = base(&format!("v{number}"), format!("/v-{number}/"), "idempotent");
+        routes.push(to(route, "service", json!("plain")));
+    }
+    let services: Vec<Value> =
+        SERVICES.iter().map(|(name, _)| json!({ "name": name, "max_conns": 60 })).collect();
+    json!({ "version": version, "routes": routes, "services": services,
+            "limits": { "max_header_bytes": 16384, "max_body_bytes": 1000,
+                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000 } })
+}
+
+/// The records of a service's servers.
+pub fn records(service: usize) -> Vec<u8> {
+    let first = SERVICES[service].1;
+    let record = |byte: u8, filler: u8| {
+        let mut record = [filler; 16];
+        record[0] = byte;
+        record
+    };
+    [record(first, 1), record(first + 100, 2)].concat()
+}
+
+impl System {
+    /// Starts the store, the servers and `nodes` nodes in two data centres; `binary` is the
+    /// nodes' program, and files go to `folder`.
+    pub async fn start(
+        binary: &Path,
+        folder: &Path,
+        subnet: u8,
+        nodes: usize,
+        plant: Option<Plant>,
+    ) -> io::Result<Arc<Self>> {
+        let store = Store::start()?;
+        let mut started = Vec::new();
+        for number in 0..nodes {
+            let store_link = Link::start(store.address()).await?;
+            started.push(Arc::new(new_node(folder, subnet, number, store_link)?));
+        }
+        let system = Arc::new(Self {
+            store,
+            nodes: started,
+            servers: Mutex::default(),
+            instances: Mutex::default(),
+            departing: Mutex::default(),
+            departures: Mutex::default(),
+            versions: Mutex::default(),
+            store_disturbed: Mutex::default(),
+            backups: Mutex::default(),
+            servers_started: AtomicU32::new(0),
+            ended: AtomicBool::new(false),
+            plant,
+        });
+        for service in 0..SERVICES.len() {
+            for _ in 0..REPLICAS {
+                let server = system.new_server(service).await?;
+                system.servers.lock().push(server);
+            }
+        }
+        system.write_version(1);
+        for node in &system.nodes {
+            tokio::spawn(supervise(Arc::clone(&system), Arc::clone(node), binary.to_owned()));
+        }
+        tokio::spawn(take_backups(Arc::clone(&system)));
+        Ok(system)
+    }
+
+    /// The nodes.
+    pub fn nodes(&self) -> &[Arc<Node>] {
+        &self.nodes
+    }
+
+    /// The number of servers in use.
+    pub fn server_count(&self) -> usize {
+        self.servers.lock().len()
+    }
+
+    /// All stand-ins that ever ran.
+    pub fn instances(&self) -> Vec<Arc<Instance>> {
+        self.instances.lock().clone()
+    }
+
+    /// The servers that left.
+    pub fn departures(&self) -> Vec<Departure> {
+        self.departures.lock().clone()
+    }
+
+    /// The version in the store over time.
+    pub fn versions(&self) -> Vec<(Instant, u64)> {
+        self.versions.lock().clone()
+    }
+
+    /// The version that the store has.
+    pub fn version(&self) -> u64 {
+        self.versions.lock().last().map_or(0, |(_, version)| *version)
+    }
+
+    fn newest_version(&self) -> u64 {
+        self.versions.lock().iter().map(|(_, version)| *version).max().unwrap_or(0)
+    }
+
+    /// When the store misbehaved.
+    pub fn store_disturbed(&self) -> Vec<Span> {
+        self.store_disturbed.lock().clone()
+    }
+
+    /// The number of calls that the store has received.
+    pub fn store_calls(&self) -> u64 {
+        self.store.calls()
+    }
+
+    /// Writes a version.
+    pub fn write_version(&self, version: u64) {
+        if self.plant != Some(Plant::LostVersions) || version == 1 {
+            self.store.put("config", "main", &config(version));
+        }
+        self.versions.lock().push((Instant::now(), version));
+    }
+
+    /// Writes the next version.
+    pub fn write_next_version(&self) {
+        self.write_version(self.newest_version() + 1);
+    }
+
+    async fn new_server(&self, service: usize) -> io::Result<Server> {
+        let number = self.servers_started.fetch_add(1, Ordering::Relaxed);
+        let name = SERVICES[service].0;
+        let mut records = records(service);
+        if self.plant == Some(Plant::OtherRecords) && number.is_multiple_of(3) {
+            records[0] += 50;
+        }
+        let instance = Arc::new(Instance::start(&format!("{name}-{number}"), name, &records)?);
+        if self.plant == Some(Plant::RunsAndRefuses) && number.is_multiple_of(3) {
+            instance.set_behavior(instance::Behavior::RunsAndRefuses);
+        }
+        self.instances.lock().push(Arc::clone(&instance));
+        let link = Arc::new(Link::start(instance.address()).await?);
+        let server =
+            Server { instance, link, service, born: 1700 + u64::from(number), state: "ready" };
+        self.register(&server);
+        Ok(server)
+    }
+
+    fn register(&self, server: &Server) {
+        let mut entry = server.instance.entry(server.state);
+        entry["address"] = json!(server.link.address.to_string());
+        entry["born"] = json!(server.born);
+        self.store.put("servers", &server.instance.id, &entry);
+    }
+
+    /// Replaces server `index` by a new one; returns the old one.
+    async fn replace(&self, index: usize) -> Option<Server> {
+        let service = self.servers.lock().get(index)?.service;
+        let new = self.new_server(service).await.ok()?;
+        Some(std::mem::replace(&mut self.servers.lock()[index], new))
+    }
+
+    /// Carries out a step; returns when it is over.
+    pub async fn disturb(self: Arc<Self>, step: Step) {
+        match step.fault {
+            Fault::Freeze { node } => {
+                let node = &self.nodes[node];
+                let span = open(&node.disturbed);
+                signal(node, "-STOP").await;
+                let process = node.process.load(Ordering::Relaxed);
+                sleep(step.lasts).await;
+                signal_process(process, "-CONT").await;
+                close(&node.disturbed, span);
+            }
+            Fault::Kill { node } => kill(&self.nodes[node]).await,
+            Fault::KillAll => {
+                for node in &self.nodes {
+                    kill(node).await;
+                }
+            }
+            Fault::Stop { node } => {
+                let node = &self.nodes[node];
+                let span = open(&node.stops);
+                signal(node, "-TERM").await;
+                sleep(GRACE).await;
+                close(&node.stops, span);
+            }
+            Fault::Reload { node } => signal(&self.nodes[node], "-HUP").await,
+            Fault::StoreLink { node, mode } => {
+                let node = &self.nodes[node];
+                let span = open(&node.disturbed);
+                node.store_link.set(mode);
+                sleep(step.lasts).await;
+                node.store_link.set(Mode::Open);
+                close(&node.disturbed, span);
+            }
+            Fault::Store { behavior } => {
+                let span = open(&self.store_disturbed);
+                self.store.set_behavior(behavior);
+                sleep(step.lasts).await;
+                self.store.set_behavior(store::Behavior::Healthy);
+                close(&self.store_disturbed, span);
+            }
+            Fault::Return { age } => self.restore(age, step.lasts).await,
+            Fault::Compact => self.store.compact(),
+            Fault::Server { server, behavior } => {
+                let Some(instance) = self.instance(server) else { return };
+                instance.set_behavior(behavior);
+                sleep(step.lasts).await;
+                instance.set_behavior(instance::Behavior::Healthy);
+            }
+            Fault::ServerLink { server, mode } => {
+                let link = self.servers.lock().get(server).map(|server| Arc::clone(&server.link));
+                let Some(link) = link else { return };
+                link.set(mode);
+                sleep(step.lasts).await;
+                link.set(Mode::Open);
+            }
+            Fault::Drain { server } => {
+                let Some(mut old) = self.replace(server).await else { return };
+                if self.plant != Some(Plant::LostDrains) {
+                    old.state = "draining";
+                }
+                self.register(&old);
+                self.depart(old, false).await;
+            }
+            Fault::Depart { server } => {
+                let Some(old) = self.replace(server).await else { return };
+                old.instance.set_behavior(instance::Behavior::Leaves);
+                self.depart(old, true).await;
+            }
+            Fault::Crash { server } => {
+                let Some(old) = self.replace(server).await else { return };
+                old.instance.stop();
+                sleep(ENTRY_LIFETIME).await;
+                self.store.delete("servers", &old.instance.id);
+            }
+            Fault::Versions { count } => {
+                for _ in 0..count {
+                    self.write_next_version();
+                    sleep(Duration::from_millis(80)).await;
+                }
+            }
+        }
+    }
+
+    fn instance(&self, index: usize) -> Option<Arc<Instance>> {
+        self.servers.lock().get(index).map(|server| Arc::clone(&server.instance))
+    }
+
+    async fn depart(&self, server: Server, by_notice: bool) {
+        let id = server.instance.id.clone();
+        self.departures.lock().push(Departure { id: id.clone(), at: Instant::now(), by_notice });
+        let instance = Arc::clone(&server.instance);
+        self.departing.lock().push(server);
+        sleep(DEPARTURE).await;
+        self.departing.lock().retain(|server| server.instance.id != id);
+        self.store.delete("servers", &id);
+        sleep(Duration::from_secs(1)).await;
+        instance.stop();
+    }
+
+    /// The store goes away for a moment and returns from a copy; then the operator and the
+    /// servers write again.
+    async fn restore(&self, age: Duration, away: Duration) {
+        let wanted = Instant::now().checked_sub(age);
+        let backup = {
+            let backups = self.backups.lock();
+            let before = backups.iter().rev().find(|(at, _)| wanted.is_some_and(|w| *at <= w));
+            before.or(backups.first()).cloned()
+        };
+        let Some((taken_at, backup)) = backup else { return };
+        let span = open(&self.store_disturbed);
+        self.store.set_behavior(store::Behavior::Unavailable);
+        sleep(away.min(Duration::from_millis(800))).await;
+        self.store.restore(&backup);
+        let newest = self.newest_version();
+        {
+            let mut versions = self.versions.lock();
+            let before = versions.iter().rev().find(|(at, _)| *at <= taken_at);
+            let version = before.map_or(1, |(_, version)| *version);
+            versions.push((Instant::now(), version));
+        }
+        self.backups.lock().retain(|(at, _)| *at <= taken_at);
+        self.store.set_behavior(store::Behavior::Healthy);
+        sleep(REWRITE / 3).await;
+        self.write_version(newest);
+        close(&self.store_disturbed, span);
+        sleep(REWRITE / 3).await;
+        self.servers.lock().iter().for_each(|server| self.register(server));
+        self.departing.lock().iter().for_each(|server| self.register(server));
+        sleep(ENTRY_LIFETIME).await;
+        for name in self.store.names("servers") {
+            if !self.is_alive(&name) {
+                self.store.delete("servers", &name);
+            }
+        }
+    }
+
+    fn is_alive(&self, id: &str) -> bool {
+        let has = |servers: &[Server]| servers.iter().any(|server| server.instance.id == id);
+        has(&self.servers.lock()) || has(&self.departing.lock())
+    }
+
+    /// Returns from a copy that was taken `age` before, at once and without an outage; the operator
+    /// writes the newest version again, then one more. Returns that one and when it was confirmed.
+    pub fn return_at_once(&self, age: Duration) -> Option<(u64, Instant)> {
+        let wanted = Instant::now().checked_sub(age)?;
+        let backups = self.backups.lock();
+        let backup = backups.iter().rev().find(|(at, _)| *at <= wanted).map(|(_, b)| b.clone());
+        drop(backups);
+        self.store.restore(&backup?);
+        let newest = self.newest_version();
+        self.write_version(newest);
+        self.servers.lock().iter().for_each(|server| self.register(server));
+        self.write_version(newest + 1);
+        Some((newest + 1, Instant::now()))
+    }
+
+    /// Ends all faults that still last.
+    pub fn heal(&self) {
+        self.store.set_behavior(store::Behavior::Healthy);
+        for node in &self.nodes {
+            node.store_link.set(Mode::Open);
+        }
+        for server in self.servers.lock().iter() {
+            server.link.set(Mode::Open);
+            server.instance.set_behavior(instance::Behavior::Healthy);
+        }
+    }
+
+    /// Ends all nodes' processes.
+    pub async fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        for node in &self.nodes {
+            signal(node, "-KILL").await;
+        }
+    }
+}
+
+fn new_node(folder: &Path, subnet: u8, number: usize, store_link: Link) -> io::Result<Node> {
+    let ip = format!("127.{subnet}.{}.{}", 1 + number / 200, 1 + number % 200);
+    let zone = if number.is_multiple_of(2) { "hall" } else { "yard" };
+    let port = |offset: u16| format!("{ip}:{}", 18_000 + offset);
+    let text = json!({
+        "node_name": format!("node-{number}"), "ip": ip, "zone": zone, "region": "land",
+        "zones": { "hall": "land", "yard": "land" },
+        "listen": { "front": port(6), "readiness_addr": port(7), "directory": port(5) },
+        "port_range": [18_040, 18_055],
+        "seeds": [],
+        "bounds": { "grace_s": 6, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 52,
+                    "ttl_max_s": 5 },
+        "platform": { "address": store_link.address.to_string() }
+    });
+    let settings = folder.join(format!("node-{number}.yaml"));
+    std::fs::write(&settings, text.to_string())?;
+    let address = port(6).parse().map_err(io::Error::other)?;
+    Ok(Node {
+        address,
+        settings,
+        log: folder.join(format!("node-{number}.log")),
+        store_link,
+        process: AtomicU32::new(0),
+        lifetime: AtomicU32::new(0),
+        disturbed: Mutex::default(),
+        stops: Mutex::default(),
+    })
+}
+
+/// Runs a node's process, and starts it again whenever it ends.
+async fn supervise(system: Arc<System>, node: Arc<Node>, binary: PathBuf) {
+    while !system.ended.load(Ordering::Relaxed) {
+        let span = open(&node.disturbed);
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&node.log);
+        let Ok(log) = log else { return };
+        let child = Command::new(&binary)
+            .arg("serve")
+            .env("HEATHERSEAM_CONFIG", &node.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .kill_on_drop(true)
+            .spawn();
+        let Ok(mut child) = child else { return };
+        node.lifetime.fetch_add(1, Ordering::Relaxed);
+        node.process.store(child.id().unwrap_or(0), Ordering::Relaxed);
+        let ready = async {
+            while http::send(node.address, crate::caller::request("0", "GET", "/view/x"))
+                .await
+                .is_err()
+            {
+                sleep(Duration::from_millis(20)).await;
+            }
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            _ = child.wait() => {}
+            () = async {
+                let _ = tokio::time::timeout(Duration::from_millis(400), ready).await;
+                close(&node.disturbed, span);
+                std::future::pending::<()>().await;
+            } => {}
+        }
+        node.process.store(0, Ordering::Relaxed);
+        close(&node.disturbed, span);
+        let span = open(&node.disturbed);
+        sleep(RESTART_DELAY).await;
+        close(&node.disturbed, span);
+    }
+}
+
+async fn take_backups(system: Arc<System>) {
+    while !system.ended.load(Ordering::Relaxed) {
+        let now = Instant::now();
+        {
+            let backup = system.store.backup();
+            let mut backups = system.backups.lock();
+            backups.push((now, backup));
+            backups.retain(|(at, _)| now.duration_since(*at) < BACKUP_AGE);
+        }
+        sleep(Duration::from_millis(250)).await;
+    }
+}
+
+async fn kill(node: &Node) {
+    let span = open(&node.disturbed);
+    signal(node, "-KILL").await;
+    close(&node.disturbed, span);
+}
+
+async fn signal(node: &Node, name: &str) {
+    signal_process(node.process.load(Ordering::Relaxed), name).await;
+}
+
+/// Signals a process that the run started.
+async fn signal_process(process: u32, name: &str) {
+    if process > 0 {
+        // The process may have ended meanwhile.
+        let _ = Command::new("kill")
+            .args([name, &process.to_string()])
+            .stderr(Stdio::null())
+            .status()
+            .await;
+    }
+}
+
+fn open(spans: &Mutex<Vec<Span>>) -> usize {
+    let mut spans = spans.lock();
+    spans.push((Instant::now(), None));
+    spans.len() - 1
+}
+
+fn close(spans: &Mutex<Vec<Span>>, index: usize) {
+    spans.lock()[index].1.get_or_insert_with(Instant::now);
+}
--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -39,6 +39,8 @@
     ServerError,
     /// Replies without the server stamp.
     MissingStamp,
+    /// Runs them, then replies that it did not: a promise that it breaks.
+    RunsAndRefuses,
     /// Replies normally, and says in all replies that it leaves.
     Leaves,
     /// Refuses requests with this value of `Retry-After`.
@@ -60,11 +62,22 @@
     pub deadline_ms: u64,
 }
 
+/// A request that was addressed to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// The request id.
+    pub id: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// Whether the server turned it away with a time to return.
+    pub turned_away: bool,
+}
+
 #[derive(Default)]
 struct State {
     behavior: Behavior,
     runs: Vec<Run>,
-    arrivals: Vec<Instant>,
+    arrivals: Vec<Arrival>,
 }
 
 /// A running server.
@@ -122,13 +135,23 @@
         })
     }
 
+    /// Ends it: closes all connections and accepts no more.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Changes how it handles requests.
     pub fn set_behavior(&self, behavior: Behavior) {
         self.state.lock().behavior = behavior;
     }
 
-    /// When requests arrived that were addressed to it, in order, whether or not it ran them.
-    pub fn arrivals(&self) -> Vec<Instant> {
+    /// The requests that were addressed to it, in order, whether or not it ran them.
+    pub fn arrivals(&self) -> Vec<Arrival> {
         self.state.lock().arrivals.clone()
     }
 
@@ -152,7 +175,8 @@
     }
     let behavior = {
         let mut state = server.state.lock();
-        state.arrivals.push(Instant::now());
+        let turned_away = matches!(state.behavior, Behavior::TurnsAway(_));
+        state.arrivals.push(Arrival { id: id.clone(), at: Instant::now(), turned_away });
         state.behavior
     };
     let retry_after = match behavior {
@@ -160,10 +184,7 @@
         _ => None,
     };
     if behavior == Behavior::Refuses || retry_after.is_some() {
-        let mut reply = http::text(StatusCode::SERVICE_UNAVAILABLE, "");
-        set_header(&mut reply, "heatherseam-request-id", &id);
-        set_header(&mut reply, "heatherseam-not-executed", "1");
-        set_header(&mut reply, "heatherseam-server-load", "4,12,4");
+        let mut reply = refusal(&id);
         if let Some(value) = retry_after {
             set_header(&mut reply, "retry-after", value);
         }
@@ -177,6 +198,9 @@
     if let Behavior::Slow(time) = behavior {
         tokio::time::sleep(time).await;
     }
+    if behavior == Behavior::RunsAndRefuses {
+        return Ok(refusal(&id));
+    }
     if behavior == Behavior::ResetsAfterRun {
         return Err(io::ErrorKind::ConnectionReset.into());
     }
@@ -197,6 +221,15 @@
     Ok(reply)
 }
 
+/// A reply that says that the request was not executed.
+fn refusal(id: &str) -> Reply {
+    let mut reply = http::text(StatusCode::SERVICE_UNAVAILABLE, "");
+    set_header(&mut reply, "heatherseam-request-id", id);
+    set_header(&mut reply, "heatherseam-not-executed", "1");
+    set_header(&mut reply, "heatherseam-server-load", "4,12,4");
+    reply
+}
+
 fn set_header(reply: &mut Reply, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         reply.headers_mut().insert(name, value);
--- a/crates/process/node/tests/turned_away.rs
+++ b/crates/process/node/tests/turned_away.rs
@@ -30,7 +30,7 @@
         !server.arrivals().is_empty()
     })
     .await;
-    server.arrivals()[0]
+    server.arrivals()[0].at
 }
 
 /// Guards against retries, hedges and trials at a server within the time that it asked for.
@@ -44,7 +44,7 @@
     while refused_at.elapsed() < ASKED {
         assert_eq!(view(&node).await, 200);
     }
-    let within = server.arrivals().iter().filter(|at| **at < refused_at + ASKED).count();
+    let within = server.arrivals().iter().filter(|arrival| arrival.at < refused_at + ASKED).count();
     assert_eq!(within, 1);
     server.set_behavior(Behavior::Healthy);
     eventually("it gets requests again", async || {
