entry: the nodes are listed again after a return that falls into another list

Found by reading: the task that lists the nodes noticed a new era only while it waited for the next list; one that rose during a call or while the node followed a watcher was missed, and nodes that the copy lacked were not told for up to 30 s. It now compares the era of its last list. A poll says explicitly that the asking node has just started.

--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -238,7 +238,8 @@
             continue;
         };
         let wait = process.settings.timing.poll_wait;
-        match timeout(wait + POLL_TIMEOUT, poll(&process, &mut links, ip, wait)).await {
+        let poll = poll(&process, &mut links, ip, wait, false);
+        match timeout(wait + POLL_TIMEOUT, poll).await {
             Ok(Ok(state)) => {
                 process.metrics.record_peer_poll("answered");
                 apply(&process, state);
@@ -275,6 +276,7 @@
     links: &mut Links,
     ip: IpAddr,
     wait: Duration,
+    is_new: bool,
 ) -> Result<State, Box<dyn std::error::Error>> {
     if links.get(&ip).is_none_or(|link| link.sender.is_closed()) {
         let address = SocketAddr::new(ip, process.settings.peer_port);
@@ -296,7 +298,7 @@
             servers: revision(Kind::Servers),
             version: process.router.borrow().as_ref().map(|router| router.version),
             era: process.era.borrow().newest(),
-            is_new: wait.is_zero(),
+            is_new,
             wait_ms: wait.as_millis() as u64,
         }
     };
@@ -354,7 +356,8 @@
     let peers = process.members.borrow().addresses();
     for ip in peers.into_iter().take(MAX_PEERS_ASKED) {
         let mut links = Links::new();
-        match timeout(POLL_TIMEOUT, poll(process, &mut links, ip, Duration::ZERO)).await {
+        let poll = poll(process, &mut links, ip, Duration::ZERO, true);
+        match timeout(POLL_TIMEOUT, poll).await {
             Ok(Ok(state)) if suffices(&state) => {
                 log::info!(target: "members", peer:% = ip, updates = state.updates.len(); "The registry's state was received from a peer.");
                 return apply(process, state);
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -35,7 +35,8 @@
 use site::register::Incarnation;
 use site::router::Router;
 
-/// How long the registry is asked to wait for a change in the first watch after a failure, since the registry may still hang.
+/// How long the registry is asked to wait for a change in the first watch after a failure,
+/// since it may still hang.
 const WATCH_WAIT_AFTER_FAILURE: Duration = Duration::from_secs(1);
 /// The delay of the next watch after changes, so that it returns several further changes
 /// at once.
@@ -124,8 +125,7 @@
             None => process.registry.list(kind, Freshness::Recent).await,
             Some(_) => {
                 if outdated {
-                    let jitter = process.table.borrow_mut().random_fraction();
-                    sleep(MAX_RETURN_DELAY.mul_f64(jitter)).await;
+                    sleep(return_delay(&process)).await;
                 }
                 process.registry.list(kind, Freshness::Current).await
             }
@@ -487,29 +487,35 @@
 /// Lists the registered nodes: after the start, then while this node watches the registry,
 /// periodically and after each return of the registry from a copy.
 async fn list_nodes(process: Rc<Process>, mut lists: u32) {
+    let is_outdated = || {
+        let known = process.feeds.borrow().of(Kind::Nodes).revision();
+        known.is_some_and(|known| process.is_outdated(known))
+    };
     let mut failures = 0;
-    let mut freshness = Freshness::Recent;
     loop {
         if lists >= FIRST_NODE_LISTS {
-            tokio::select! {
-                () = sleep(NODE_LIST_INTERVAL) => {}
-                () = process.era_risen.notified() => freshness = Freshness::Current,
+            if !is_outdated() {
+                tokio::select! {
+                    () = sleep(NODE_LIST_INTERVAL) => {}
+                    () = process.era_risen.notified() => {}
+                }
             }
             while process.source.get() != Source::Registry {
                 process.source_changed.notified().await;
             }
-            if freshness == Freshness::Current {
-                let jitter = process.table.borrow_mut().random_fraction();
-                sleep(MAX_RETURN_DELAY.mul_f64(jitter)).await;
-            }
         }
+        let freshness = if is_outdated() {
+            sleep(return_delay(&process)).await;
+            Freshness::Current
+        } else {
+            Freshness::Recent
+        };
         match process.registry.list(Kind::Nodes, freshness).await {
             Ok(reading) => {
-                let batch = process.date(Kind::Nodes, reading);
-                failures = 0;
                 lists += 1;
-                freshness = Freshness::Recent;
-                apply_batch(&process, Kind::Nodes, batch, true);
+                let batch = process.date(Kind::Nodes, reading);
+                failures =
+                    if apply_batch(&process, Kind::Nodes, batch, true) { 0 } else { failures + 1 };
                 if lists < FIRST_NODE_LISTS {
                     sleep(FIRST_NODE_LIST_INTERVAL).await;
                 }
@@ -517,12 +523,19 @@
             Err(error) => {
                 failures += 1;
                 log::info!(target: "members", error:% = error; "The nodes can't be listed.");
-                sleep(backoff(&process, failures)).await;
             }
         }
+        if failures > 0 {
+            sleep(backoff(&process, failures)).await;
+        }
     }
 }
 
+/// The delay of a list that follows a return of the registry.
+fn return_delay(process: &Process) -> Duration {
+    MAX_RETURN_DELAY.mul_f64(process.table.borrow_mut().random_fraction())
+}
+
 /// The maximum delay of a registration after a return of the registry, so that not all nodes
 /// write at the same time.
 const MAX_REGISTRATION_DELAY: Duration = Duration::from_millis(1000);
