soak: whole shards that turn away, busy planned stops, a planted fault for each promise but resources

The runs with a planted fault showed what the soak could not find: stops rarely met a request in progress, and single servers that turn away got few requests anyway. A node is now stopped while its requests wait for slow servers, and a service turns away as a whole; the stand-in states no load with it, which had kept requests away by itself. Each run takes a loopback subnet that is free: two runs had met on one.

site: the tests of the fleet share their entries.

--- a/crates/fakes/examples/soak/main.rs
+++ b/crates/fakes/examples/soak/main.rs
@@ -67,7 +67,7 @@
     options.optopt("", "nodes", "the number of nodes (6)", "N");
     options.optopt("", "without", "steps to leave out", "N,N,...");
     options.optflag("", "shrink", "leave out steps while the run fails");
-    options.optopt("", "plant", "records, refusals, versions or drains", "NAME");
+    options.optopt("", "plant", "a fault of a stand-in that must be reported", "NAME");
     options.optflag("", "return", "measure a return of the store");
     options.optopt("", "folder", "for settings and logs", "PATH");
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -114,6 +114,10 @@
         "refusals" => Some(Plant::RunsAndRefuses),
         "versions" => Some(Plant::LostVersions),
         "drains" => Some(Plant::LostDrains),
+        "routes" => Some(Plant::DroppedRoutes),
+        "stops" => Some(Plant::KilledStops),
+        "times" => Some(Plant::UnreadableTimes),
+        "recovery" => Some(Plant::NoRecovery),
         other => panic!("no such plant: {other}"),
     }
 }
@@ -147,8 +151,8 @@
     if let Err(error) = std::fs::create_dir_all(folder) {
         panic!("cannot create {}: {error}", folder.display());
     }
-    let subnet = 210 + (std::process::id() % 40) as u8;
-    let started = System::start(&settings.binary, folder, subnet, settings.nodes, settings.plant);
+    let started =
+        System::start(&settings.binary, folder, free_subnet(), settings.nodes, settings.plant);
     let system = started.await.expect("the system starts");
     let from = Instant::now();
     for node in system.nodes() {
@@ -160,6 +164,15 @@
     system
 }
 
+/// A loopback subnet that no other run uses.
+fn free_subnet() -> u8 {
+    let first = (std::process::id() % 40) as u8;
+    let subnets = (0..40).map(|offset| 210 + (first + offset) % 40);
+    let is_free =
+        |subnet: &u8| std::net::TcpListener::bind(system::caller_address(*subnet, 0)).is_ok();
+    subnets.into_iter().find(is_free).expect("a free subnet")
+}
+
 async fn run(settings: &Settings, seed: u64, left_out: &BTreeSet<usize>, verbose: bool) -> bool {
     let folder = settings.folder.join(seed.to_string());
     let system = start(settings, &folder).await;
--- a/crates/fakes/examples/soak/schedule.rs
+++ b/crates/fakes/examples/soak/schedule.rs
@@ -8,9 +8,13 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::link::Mode;
+use crate::system::SERVICES;
 use fakes::instance;
 use fakes::store;
 
+/// The time for which servers want no requests, as they state it.
+pub const TURN_AWAY_HEADER: &str = "1.5";
+
 /// What is done to the system.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -20,7 +24,7 @@
     Kill { node: usize },
     /// All nodes are killed and start again.
     KillAll,
-    /// A node is asked to stop, and starts again once it has.
+    /// A node is asked to stop while it waits for slow servers, and starts again once it has.
     Stop { node: usize },
     /// The settings of a node are read again.
     Reload { node: usize },
@@ -34,6 +38,8 @@
     Compact,
     /// A server misbehaves.
     Server { server: usize, behavior: instance::Behavior },
+    /// All servers of a service turn requests away.
+    TurnAway { service: usize },
     /// The connections to a server misbehave.
     ServerLink { server: usize, mode: Mode },
     /// A server drains, leaves and is replaced.
@@ -84,7 +90,7 @@
 fn fault(rng: &mut ChaCha8Rng, nodes: usize, servers: usize) -> Fault {
     let node = rng.random_range(0..nodes);
     let server = rng.random_range(0..servers);
-    match rng.random_range(0..20) {
+    match rng.random_range(0..21) {
         0 | 1 => Fault::Freeze { node },
         2 | 3 => Fault::Kill { node },
         4 => Fault::KillAll,
@@ -98,6 +104,7 @@
         15 => Fault::Drain { server },
         16 => Fault::Depart { server },
         17 => Fault::Crash { server },
+        20 => Fault::TurnAway { service: rng.random_range(0..SERVICES.len()) },
         18 => Fault::Versions { count: rng.random_range(2..8) },
         _ => Fault::Server { server, behavior: server_behavior(rng) },
     }
@@ -128,6 +135,6 @@
         3 => instance::Behavior::WrongRequestId,
         4 => instance::Behavior::ServerError,
         5 => instance::Behavior::MissingStamp,
-        _ => instance::Behavior::TurnsAway("1.5"),
+        _ => instance::Behavior::TurnsAway(TURN_AWAY_HEADER),
     }
 }
--- a/crates/fakes/examples/soak/system.rs
+++ b/crates/fakes/examples/soak/system.rs
@@ -23,6 +23,7 @@
 use crate::link::Mode;
 use crate::schedule::Fault;
 use crate::schedule::Step;
+use crate::schedule::TURN_AWAY_HEADER;
 use fakes::http;
 use fakes::instance;
 use fakes::instance::Instance;
@@ -45,6 +46,8 @@
 const KEPT_ROUTES: u64 = 8;
 /// The delay until an ended process is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// How long slow servers take while a node is asked to stop.
+const SLOW: Duration = Duration::from_millis(300);
 /// How long a leaving server goes on.
 const DEPARTURE: Duration = Duration::from_secs(6);
 /// How long the store keeps the entry of a server that has ended.
@@ -67,6 +70,14 @@
     LostVersions,
     /// The store confirms that servers drain and does not keep it.
     LostDrains,
+    /// Some versions lack the routes that the versions before them had.
+    DroppedRoutes,
+    /// A planned stop kills the process at once.
+    KilledStops,
+    /// Servers that turn requests away state a time that can't be read.
+    UnreadableTimes,
+    /// All servers of a service end when the faults do.
+    NoRecovery,
 }
 
 /// A span; open if it has no end yet.
@@ -129,7 +140,7 @@
     plant: Option<Plant>,
 }
 
-fn config(version: u64) -> Value {
+fn config(version: u64, with_versions: bool) -> Value {
     let timeout = TIMEOUT.as_millis() as u64;
     let base = |name: &str, prefix: String, kind: &str| {
         json!({ "name": name, "host": HOST, "path_prefix": prefix, "route_type": kind,
@@ -147,7 +158,9 @@
         to(base("view", "/view/".to_owned(), "idempotent"), "service", json!("plain")),
         to(base("book", "/book/".to_owned(), "non_idempotent"), "service", json!("plain")),
     ];
-    for number in version.saturating_sub(KEPT_ROUTES).max(1)..=version {
+    let first =
+        if with_versions { version.saturating_sub(KEPT_ROUTES).max(1) } else { version + 1 };
+    for number in first..=version {
         let route = base(&format!("v{number}"), format!("/v-{number}/"), "idempotent");
         routes.push(to(route, "service", json!("plain")));
     }
@@ -260,7 +273,8 @@
     /// Writes a version.
     pub fn write_version(&self, version: u64) {
         if self.plant != Some(Plant::LostVersions) || version == 1 {
-            self.store.put("config", "main", &config(version));
+            let drops = self.plant == Some(Plant::DroppedRoutes) && version.is_multiple_of(5);
+            self.store.put("config", "main", &config(version, !drops));
         }
         self.versions.lock().push((Instant::now(), version));
     }
@@ -323,8 +337,13 @@
             }
             Fault::Stop { node } => {
                 let node = &self.nodes[node];
+                self.set_service(SERVICES.len() - 1, instance::Behavior::Slow(SLOW));
+                sleep(SLOW).await;
                 let span = open(&node.stops);
-                signal(node, "-TERM").await;
+                let kills = self.plant == Some(Plant::KilledStops);
+                signal(node, if kills { "-KILL" } else { "-TERM" }).await;
+                sleep(SLOW).await;
+                self.set_service(SERVICES.len() - 1, instance::Behavior::Healthy);
                 sleep(GRACE).await;
                 close(&node.stops, span);
             }
@@ -352,6 +371,13 @@
                 sleep(step.lasts).await;
                 instance.set_behavior(instance::Behavior::Healthy);
             }
+            Fault::TurnAway { service } => {
+                let is_unreadable = self.plant == Some(Plant::UnreadableTimes);
+                let asked = if is_unreadable { "soon" } else { TURN_AWAY_HEADER };
+                self.set_service(service, instance::Behavior::TurnsAway(asked));
+                sleep(step.lasts).await;
+                self.set_service(service, instance::Behavior::Healthy);
+            }
             Fault::ServerLink { server, mode } => {
                 let link = self.servers.lock().get(server).map(|server| Arc::clone(&server.link));
                 let Some(link) = link else { return };
@@ -387,6 +413,13 @@
         }
     }
 
+    /// Changes how all servers of a service handle requests.
+    fn set_service(&self, service: usize, behavior: instance::Behavior) {
+        for server in self.servers.lock().iter().filter(|server| server.service == service) {
+            server.instance.set_behavior(behavior);
+        }
+    }
+
     fn instance(&self, index: usize) -> Option<Arc<Instance>> {
         self.servers.lock().get(index).map(|server| Arc::clone(&server.instance))
     }
@@ -469,6 +502,9 @@
         for server in self.servers.lock().iter() {
             server.link.set(Mode::Open);
             server.instance.set_behavior(instance::Behavior::Healthy);
+            if self.plant == Some(Plant::NoRecovery) && server.service + 1 == SERVICES.len() {
+                server.instance.stop();
+            }
         }
     }
 
@@ -481,8 +517,15 @@
     }
 }
 
+/// The caller address of node `number`.
+pub fn caller_address(subnet: u8, number: usize) -> SocketAddr {
+    let ip = [127, subnet, (1 + number / 200) as u8, (1 + number % 200) as u8];
+    SocketAddr::from((ip, 18_006))
+}
+
 fn new_node(folder: &Path, subnet: u8, number: usize, store_link: Link) -> io::Result<Node> {
-    let ip = format!("127.{subnet}.{}.{}", 1 + number / 200, 1 + number % 200);
+    let address = caller_address(subnet, number);
+    let ip = address.ip();
     let zone = if number.is_multiple_of(2) { "hall" } else { "yard" };
     let port = |offset: u16| format!("{ip}:{}", 18_000 + offset);
     let text = json!({
@@ -497,7 +540,6 @@
     });
     let settings = folder.join(format!("node-{number}.yaml"));
     std::fs::write(&settings, text.to_string())?;
-    let address = port(6).parse().map_err(io::Error::other)?;
     Ok(Node {
         address,
         settings,
--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -186,6 +186,8 @@
     if behavior == Behavior::Refuses || retry_after.is_some() {
         let mut reply = refusal(&id);
         if let Some(value) = retry_after {
+            // Without a load, so that only the time tells the caller to stay away.
+            reply.headers_mut().remove("heatherseam-server-load");
             set_header(&mut reply, "retry-after", value);
         }
         return Ok(reply);
--- a/crates/version/site/tests/copied_entries.rs
+++ b/crates/version/site/tests/copied_entries.rs
@@ -4,31 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::support::entry;
 use base::time::Time;
 use site::fleet::Change;
 use site::fleet::Event;
 use site::fleet::Fleet;
 use site::fleet::Settings;
 use site::register::Entry;
-use site::register::Incarnation;
+
+mod support;
 
 /// When the registry returns.
 const RETURN: Time = Time::from_millis(10_000);
 /// The time after which a server that has left must get no more requests.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 
-fn entry(id: &str, born: u64) -> Entry {
-    Entry {
-        incarnation: Incarnation { id: Arc::from(id), born },
-        service: Arc::from("desk"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        data_centre: Arc::from("hall"),
-        slots: 2,
-        draining: false,
-        warmup: Duration::ZERO,
-    }
-}
-
 fn used(fleet: &Fleet) -> Vec<&str> {
     let mut ids: Vec<&str> = fleet.entries().map(|entry| &*entry.incarnation.id).collect();
     ids.sort();
--- a/crates/version/site/tests/fleet_changes.rs
+++ b/crates/version/site/tests/fleet_changes.rs
@@ -3,35 +3,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::support::entry;
+use crate::support::incarnation;
 use base::time::Time;
 use site::fleet::Change;
 use site::fleet::Event;
 use site::fleet::Fleet;
 use site::fleet::Settings;
 use site::register::Entry;
-use site::register::Incarnation;
+
+mod support;
 
 /// The time after which a draining server must get no more requests, and the
 /// delay of the watch that reports it.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 const WATCH_DELAY: Duration = Duration::from_millis(700);
 
-fn incarnation(id: &str, born: u64) -> Incarnation {
-    Incarnation { id: Arc::from(id), born }
-}
-
-fn entry(id: &str, born: u64) -> Entry {
-    Entry {
-        incarnation: incarnation(id, born),
-        service: Arc::from("desk"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        data_centre: Arc::from("hall"),
-        slots: 2,
-        draining: false,
-        warmup: Duration::ZERO,
-    }
-}
-
 fn draining(id: &str, born: u64) -> Entry {
     Entry { draining: true, ..entry(id, born) }
 }
