entry: a node that stops accepts no connections once it closes the others

Cause: the node went on accepting after it had told its connections to close. A request on a connection of that time was passed on to a server; if all other connections had ended, or the time to stop was over, the process exited before the reply.

Connections that are not accepted are reset before their request is read.

Change: accepting ends, and its task is awaited, before the connections are counted.

--- a/crates/process/entry/src/front.rs
+++ b/crates/process/entry/src/front.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: a connection is not closed while a request runs on it. A node that shuts
 //! down adds `Connection: close` to its answers, and closes idle connections only after
-//! the last lookup that returned the node has expired.
+//! the last lookup that returned the node has expired; from then on it accepts no more.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -30,15 +30,21 @@
 /// connection before this node does, and sends no request on a closed one.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Accepts connections for as long as the process runs.
+/// Accepts connections until `close` is set: one that was accepted later could be passed on
+/// to a server and not be answered before the process exits.
 pub(crate) async fn accept(
     process: Rc<Process>,
     listener: TcpListener,
     connections: TaskTracker,
-    close: watch::Receiver<bool>,
+    mut close: watch::Receiver<bool>,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            _ = close.wait_for(|close| *close) => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let connection = serve(Rc::clone(&process), stream, close.clone());
                 connections.spawn_local(connection);
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -15,6 +15,7 @@
 use tokio::signal::unix::signal;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
@@ -107,7 +108,8 @@
 
     let connections = TaskTracker::new();
     let (close, closing) = watch::channel(false);
-    spawn_local(front::accept(Rc::clone(&process), callers, connections.clone(), closing));
+    let accepting =
+        spawn_local(front::accept(Rc::clone(&process), callers, connections.clone(), closing));
     spawn_local(listener::accept(Rc::clone(&process), readiness, lookup::handle));
     if let Some(lookups) = lookups {
         spawn_local(listener::accept(Rc::clone(&process), lookups, lookup::handle));
@@ -137,7 +139,7 @@
             last = found;
         }
     }
-    shut_down(&process, &connections, &close).await;
+    shut_down(&process, accepting, &connections, &close).await;
     Ok(())
 }
 
@@ -218,7 +220,12 @@
 
 /// Shuts down: lookups stop returning this node at once. It accepts connections until no
 /// caller has its address cached, and then waits for the requests that are running.
-async fn shut_down(process: &Process, connections: &TaskTracker, close: &watch::Sender<bool>) {
+async fn shut_down(
+    process: &Process,
+    accepting: JoinHandle<()>,
+    connections: &TaskTracker,
+    close: &watch::Sender<bool>,
+) {
     log::info!(target: "node", busy = process.active_requests.get(), connections = connections.len(); "Stopping.");
     process.leaving.set(true);
     process.shutdown_started.notify_one();
@@ -227,6 +234,9 @@
     sleep(accept_time).await;
     // Not `send`, which fails without setting the value if no connection holds a receiver.
     close.send_replace(true);
+    if let Err(error) = accepting.await {
+        log::error!(target: "node", error:% = error; "The task that accepts connections failed.");
+    }
     connections.close();
     let ended =
         tokio::time::timeout(time_limit.saturating_sub(accept_time), connections.wait()).await;
