--- a/crates/fakes/examples/soak/system.rs
+++ b/crates/fakes/examples/soak/system.rs
@@ -56,6 +56,9 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// Within which the operator and the servers write again after a return.
 const REWRITE: Duration = Duration::from_millis(1500);
+/// The interval between checks for pauses of this process, and the shortest that counts.
+const PAUSE_CHECK: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// How long backups are kept.
 const BACKUP_AGE: Duration = Duration::from_secs(10);
 
@@ -223,6 +226,7 @@
             tokio::spawn(supervise(Arc::clone(&system), Arc::clone(node), binary.to_owned()));
         }
         tokio::spawn(take_backups(Arc::clone(&system)));
+        tokio::spawn(watch_pauses(Arc::clone(&system)));
         Ok(system)
     }
 
@@ -613,6 +617,19 @@
     close(&node.disturbed, span);
 }
 
+/// Records the pauses of this process, in which the store and the links do nothing: the bounds
+/// don't hold then.
+async fn watch_pauses(system: Arc<System>) {
+    while !system.ended.load(Ordering::Relaxed) {
+        let before = Instant::now();
+        sleep(PAUSE_CHECK).await;
+        if before.elapsed() > MAX_PAUSE {
+            println!("the soak itself was paused for {} ms", before.elapsed().as_millis());
+            system.store_disturbed.lock().push((before, Some(Instant::now())));
+        }
+    }
+}
+
 async fn signal(node: &Node, name: &str) {
     signal_process(node.process.load(Ordering::Relaxed), name).await;
 }
