--- a/crates/process/entry/src/source.rs
+++ b/crates/process/entry/src/source.rs
@@ -42,6 +42,18 @@
 /// The delay of a follower's next call of its own after one that failed.
 const OWN_CALL_INTERVAL: Duration = Duration::from_millis(2500);
 
+/// The maximum waits and ages, and the fractions of the bound on changes that limit them where
+/// that is short. The sum of a watch, the delay of the next one and a poll stays below the age
+/// limit, and that with its jitter below the bound.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(2500);
+const WATCH_WAIT_FRACTION: f64 = 0.5;
+const MAX_POLL_WAIT: Duration = Duration::from_millis(700);
+const POLL_WAIT_FRACTION: f64 = 0.14;
+const MAX_AGE: Duration = Duration::from_millis(4000);
+const AGE_FRACTION: f64 = 0.8;
+const MAX_JITTER: Duration = Duration::from_millis(500);
+const JITTER_FRACTION: f64 = 0.1;
+
 /// How long calls wait and how old a state may become, so that a change is in force in time on
 /// every follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,8 +63,7 @@
     /// How long a watcher is asked to wait for one.
     pub poll_wait: Duration,
     /// The age of a state, counted from the registry's last answer to a watcher, from which on
-    /// a follower asks the registry itself. Longer than a watch, the delay of the next one and a
-    /// poll together.
+    /// a follower asks the registry itself.
     max_age: Duration,
     /// The maximum that is added at random, so that the followers don't call at the same time.
     max_jitter: Duration,
@@ -61,12 +72,12 @@
 impl Timing {
     /// The timing for changes that must be in force within `bound`.
     pub fn new(bound: Duration) -> Self {
-        let part = |fraction, longest| bound.mul_f64(fraction).min(Duration::from_millis(longest));
+        let part = |fraction, longest| bound.mul_f64(fraction).min(longest);
         Self {
-            watch_wait: part(0.5, 2500),
-            poll_wait: part(0.14, 700),
-            max_age: part(0.8, 4000),
-            max_jitter: part(0.1, 500),
+            watch_wait: part(WATCH_WAIT_FRACTION, MAX_WATCH_WAIT),
+            poll_wait: part(POLL_WAIT_FRACTION, MAX_POLL_WAIT),
+            max_age: part(AGE_FRACTION, MAX_AGE),
+            max_jitter: part(JITTER_FRACTION, MAX_JITTER),
         }
     }
 
