--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -9,8 +9,8 @@
 //! is charged. The server with the lowest cost is chosen.
 //!
 //! Invariants: a draining server is never chosen. Nor is one that turned requests away, until
-//! the time that it asked for is over; then single trials decide when it is used again. An index keeps its meaning while
-//! the process runs; another incarnation gets a new index.
+//! the time that it asked for is over; then single trials decide when it is used again. An
+//! index keeps its meaning while the process runs; another incarnation gets a new index.
 
 use std::collections::HashMap;
 use std::sync::Arc;
