entry, poison: the log names the requests that ran at a server when it ended

Until now no line said what repeats of a request have in common, since each has a new id, and none told a server that ended from a connection that broke.

An attempt that breaks off now logs the request's identity: a hash of its method, host, path, caller and body. Then the node checks whether the server has ended: no connection to it is open and a connect is refused. One line names the server and the identities of the requests that ran there; a counter counts such servers. Nothing is decided by it.

--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -134,6 +134,7 @@
         id = caller_request.id.to_str().unwrap_or_default(),
         server = process.server_id(completed.server).as_ref(),
         end = end_name,
+        request = caller_request.identity.get().map(ToString::to_string),
         why;
         "An attempt ended without an answer."
     );
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -5,6 +5,7 @@
 //! returns it unsent or the server certifies that it did not run it.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,9 +19,11 @@
 use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
+use hyper::http::HeaderName;
 use hyper::http::HeaderValue;
 use hyper::http::response::Parts;
 
+use crate::breaks;
 use crate::limits;
 use crate::process::Process;
 use crate::protocol::ReplyHeaders;
@@ -30,6 +33,8 @@
 use base::entity::Attempt;
 use base::entity::Server;
 use base::time::Time;
+use poison::identity::Identity;
+use poison::identity::Parts as IdentityParts;
 use replica::table::Observation;
 
 /// The maximum size of a reply's body.
@@ -52,9 +57,30 @@
     /// The number of its attempts that may have run: they left this node, and no server has
     /// certified that it did not run them.
     pub(crate) possible_runs: Cell<u32>,
+    /// See [`Self::identity`].
+    pub(crate) identity: OnceCell<Identity>,
 }
 
+/// The headers that identify a caller. Others may differ between repeats of a request.
+const CALLER_HEADERS: [HeaderName; 3] =
+    [header::AUTHORIZATION, header::COOKIE, HeaderName::from_static("x-api-key")];
+
 impl CallerRequest {
+    /// What this request and its repeats have in common.
+    pub(crate) fn identity(&self) -> Identity {
+        *self.identity.get_or_init(|| {
+            let value = |name: &HeaderName| self.headers.get(name).map(HeaderValue::as_bytes);
+            let values = CALLER_HEADERS.map(|name| value(&name).unwrap_or_default());
+            Identity::new(&IdentityParts {
+                method: self.method.as_str(),
+                host: value(&header::HOST).unwrap_or_default(),
+                path: self.uri.path_and_query().map_or("", |path| path.as_str()),
+                caller: &values,
+                body: &self.body,
+            })
+        })
+    }
+
     /// Records that an attempt certainly has not run.
     fn certify_not_run(&self) {
         self.possible_runs.set(self.possible_runs.get().saturating_sub(1));
@@ -231,6 +257,7 @@
         Err(mut error) => {
             process.table.borrow_mut().unheard(process.clock.now(), server);
             if error.take_message().is_none() {
+                breaks::on_break(process, caller_request, server);
                 return AttemptOutcome::Unknown("the connection broke before a reply");
             }
             guard.sent = None;
@@ -254,7 +281,10 @@
     }
     let (body, held) = match read_body(process, body).await {
         Ok(body) => body,
-        Err(why) => return AttemptOutcome::Unknown(why),
+        Err(why) => {
+            breaks::on_break(process, caller_request, server);
+            return AttemptOutcome::Unknown(why);
+        }
     };
     let is_own =
         reply_headers.request_id.as_ref().is_none_or(|request_id| *request_id == caller_request.id);
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -37,6 +37,7 @@
     limited_sends: Counter<u64>,
     forwards: Counter<u64>,
     dropped_replies: Counter<u64>,
+    ended_servers: Counter<u64>,
     registry_calls: Counter<u64>,
     peer_polls: Counter<u64>,
     reach: Gauge<u64>,
@@ -64,6 +65,7 @@
             attempts: meter.u64_counter("heatherseam_attempts").build(),
             extra_sends: meter.u64_counter("heatherseam_extra_sends").build(),
             dropped_replies: meter.u64_counter("heatherseam_replies_dropped").build(),
+            ended_servers: meter.u64_counter("heatherseam_servers_ended").build(),
             forwards: meter.u64_counter("heatherseam_requests_passed_on").build(),
             limited_sends: meter.u64_counter("heatherseam_limited_sends").build(),
             peer_polls: meter.u64_counter("heatherseam_peer_polls").build(),
@@ -120,6 +122,11 @@
         self.dropped_replies.add(1, &[]);
     }
 
+    /// Counts a server that ended while requests ran there.
+    pub(crate) fn record_ended_server(&self) {
+        self.ended_servers.add(1, &[]);
+    }
+
     /// Counts a call to the registry.
     pub(crate) fn record_registry_call(&self, result: &'static str) {
         self.registry_calls.add(1, &[KeyValue::new("result", result)]);
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -12,6 +12,7 @@
 use cranelift_entity::SecondaryMap;
 use tokio::sync::Notify;
 
+use crate::breaks::Breaks;
 use crate::clock::Clock;
 use crate::departures::Departures;
 use crate::era;
@@ -61,6 +62,8 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) route_stats: RefCell<StatsByRoute>,
     pub(crate) pool: Pool,
+    /// The requests that broke off at servers which may have ended.
+    pub(crate) breaks: RefCell<Breaks>,
     /// The memory of the replies in progress.
     pub(crate) reply_memory: Rc<Memory>,
     /// The connections on which requests are passed on to other nodes.
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -195,6 +195,7 @@
         budget: RefCell::new(budget),
         route_stats: RefCell::new(StatsByRoute::default()),
         pool: Pool::new(clock),
+        breaks: RefCell::default(),
         reply_memory: Rc::new(Memory::new(settings.memory)),
         forwards: forward::Connections::default(),
         metrics: Metrics::new()?,
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -2,6 +2,7 @@
 //! builds the answer.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -114,6 +115,7 @@
         leaves_reserve: leaves_reserve(&process, &route),
         may_be_passed_on: may_pass_on,
         possible_runs: Cell::new(0),
+        identity: OnceCell::new(),
     });
     run(&process, &router, &route, caller_request, arrived).await
 }
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -9,6 +9,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,6 +52,15 @@
 /// The delay after a failed connect.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(250);
 
+/// The errors of a connect that show that nothing listens at an address; others have causes on
+/// this VM.
+const REFUSALS: [ErrorKind; 4] = [
+    ErrorKind::ConnectionRefused,
+    ErrorKind::ConnectionReset,
+    ErrorKind::HostUnreachable,
+    ErrorKind::TimedOut,
+];
+
 /// An open connection.
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
@@ -161,6 +171,24 @@
         upstreams[server].as_ref().is_some_and(|upstream| idle(upstream) > 0)
     }
 
+    /// Whether a server has ended: no connection to it is open, and it accepts none.
+    pub(crate) async fn has_ended(&self, server: Server) -> bool {
+        let address = {
+            let upstreams = self.upstreams.borrow();
+            let Some(upstream) = &upstreams[server] else { return false };
+            let connections = upstream.connections.borrow();
+            if connections.count(server::State::Idle) + connections.count(server::State::Busy) > 0 {
+                return false;
+            }
+            upstream.address
+        };
+        match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => false,
+            Ok(Err(error)) => REFUSALS.contains(&error.kind()),
+            Err(_) => true,
+        }
+    }
+
     /// Leases a connection to `server`: an idle one, or the first that becomes free.
     pub(crate) async fn lease(&self, server: Server) -> Result<Lease, LeaseError> {
         let (guard, receiver) = {
