node: test of requests that end servers, known red

Twelve stand-in servers that one request ends, back after 3 s at the same address as a new incarnation; three nodes. The request comes three times a second at any node.

--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -49,6 +49,15 @@
     TurnsAway(&'static str),
 }
 
+/// Requests that end the server that runs them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Poison {
+    /// Their bodies contain this.
+    pub mark: &'static str,
+    /// The time from the start of the run to the end of the server.
+    pub delay: Duration,
+}
+
 /// A request that a server ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -82,6 +91,9 @@
     behavior: Behavior,
     runs: Vec<Run>,
     arrivals: Vec<Arrival>,
+    poison: Option<Poison>,
+    /// When a request ended it.
+    ended_at: Option<Instant>,
 }
 
 /// A running server.
@@ -108,6 +120,15 @@
     id: String,
     records: Vec<u8>,
     state: Arc<Mutex<State>>,
+    stop: CancellationToken,
+}
+
+impl Server {
+    /// Ends the server while it runs a request.
+    fn end(&self) {
+        self.state.lock().ended_at.get_or_insert_with(Instant::now);
+        self.stop.cancel();
+    }
 }
 
 impl Instance {
@@ -117,13 +138,30 @@
     ///
     /// If no port can be bound.
     pub fn start(id: &str, service: &str, records: &[u8]) -> io::Result<Self> {
-        let listener = http::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), id, service, records)
+    }
+
+    /// Starts a server on `address`.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub fn start_at(
+        address: SocketAddr,
+        id: &str,
+        service: &str,
+        records: &[u8],
+    ) -> io::Result<Self> {
+        let listener = http::bind(address)?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
-        let server =
-            Server { id: id.to_owned(), records: records.to_vec(), state: Arc::clone(&state) };
-        let server = Arc::new(server);
         let stop = CancellationToken::new();
+        let server = Arc::new(Server {
+            id: id.to_owned(),
+            records: records.to_vec(),
+            state: Arc::clone(&state),
+            stop: stop.clone(),
+        });
         let answer = move |request| answer(Arc::clone(&server), request);
         tokio::spawn(http::serve(listener, stop.clone(), answer));
         let (id, service, records) = (id.to_owned(), service.to_owned(), records.to_vec());
@@ -144,6 +182,16 @@
         self.stop.cancel();
     }
 
+    /// Sets which requests end it.
+    pub fn set_poison(&self, poison: Poison) {
+        self.state.lock().poison = Some(poison);
+    }
+
+    /// When a request ended it, if one has.
+    pub fn ended_at(&self) -> Option<Instant> {
+        self.state.lock().ended_at
+    }
+
     /// Its address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -204,7 +252,17 @@
     let path = request.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
     let deadline_ms = header(&headers, "heatherseam-deadline-ms").parse().unwrap_or(0);
     let body = http::read(request.into_body()).await?.to_vec();
-    server.state.lock().runs.push(Run { id: id.clone(), method, path, body, deadline_ms });
+    let poison = {
+        let mut state = server.state.lock();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        state.runs.push(Run { id: id.clone(), method, path, body, deadline_ms });
+        state.poison.clone().filter(|poison| text.contains(poison.mark))
+    };
+    if let Some(poison) = poison {
+        tokio::time::sleep(poison.delay).await;
+        server.end();
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
     if let Behavior::Slow(time) = behavior {
         tokio::time::sleep(time).await;
     }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs)]
 
 pub mod caller;
+pub mod crashing;
 pub mod endless;
 pub mod hits;
 pub mod http;
