poison, gather, entry: a request that ends server after server is blocked at all nodes

Cause: nothing links repeats of a request. A node forgets a request with its answer, each repeat has a new id, and no node tells others what ended a server. The class: a repeat that does harm since nobody knows of the first.

Now a request has an identity (a hash of method, host, path, caller, body). When an attempt breaks off and the server is found ended, the request is suspected; after three servers that ended one after the other it is blocked, unless it was answered in between at any node. Nodes tell each other by datagrams, at once and again with the heartbeats; nothing is sent and no identity computed while none is suspected. A suspected request is at one server at a time, also in a search over shards, gets no hedge, and goes to any server, not to the best one, where it would meet the requests that ran beside it. A blocked one is refused at once as not run, with the time of the next trial as Retry-After; after a minute one node tries it at one server.

--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -12,6 +12,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
+use crate::breaks;
 use crate::exchange;
 use crate::exchange::AttemptOutcome;
 use crate::exchange::CallerRequest;
@@ -27,6 +28,7 @@
 use gather::event::Response;
 use gather::machine::Machine;
 use gather::resources::NodeBalancer;
+use replica::table::Choice;
 
 /// How long unneeded attempts may run after the request is finished. Short pauses of a
 /// server end within this time, so that its connection is kept.
@@ -43,7 +45,6 @@
     stats: Rc<RefCell<RouteStats>>,
     trace: &mut Trace,
 ) -> Option<Response<Reply>> {
-    let leaves_reserve = caller_request.leaves_reserve;
     let usual_service_time = machine.plan().usual_service_time;
     let mut attempts: Attempts = FuturesUnordered::new();
     let mut actions = Vec::new();
@@ -53,8 +54,13 @@
         {
             let mut table = process.table.borrow_mut();
             let mut budget = process.budget.borrow_mut();
+            let choice = Choice {
+                leaves_reserve: caller_request.leaves_reserve,
+                spreads: caller_request.broke_off.get(),
+            };
+            let standing = breaks::standing(process, &caller_request);
             let mut balancer =
-                NodeBalancer { table: &mut table, budget: &mut budget, leaves_reserve };
+                NodeBalancer { table: &mut table, budget: &mut budget, choice, standing };
             machine.handle(process.clock.now(), event, &mut balancer, &mut actions);
         }
         for action in actions.drain(..) {
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -35,6 +35,7 @@
 use base::time::Time;
 use poison::identity::Identity;
 use poison::identity::Parts as IdentityParts;
+use poison::ledger::Standing;
 use replica::table::Observation;
 
 /// The maximum size of a reply's body.
@@ -57,6 +58,11 @@
     /// The number of its attempts that may have run: they left this node, and no server has
     /// certified that it did not run them.
     pub(crate) possible_runs: Cell<u32>,
+    /// Whether a server has answered one of its attempts, or an attempt has broken off.
+    pub(crate) answered: Cell<bool>,
+    pub(crate) broke_off: Cell<bool>,
+    /// Whether it is the trial of a blocked request, and has not been sent yet.
+    pub(crate) is_trial: Cell<bool>,
     /// See [`Self::identity`].
     pub(crate) identity: OnceCell<Identity>,
 }
@@ -129,6 +135,10 @@
     extra: bool,
     usual_service_time: Duration,
     reported: bool,
+    /// Whether the request may end the server.
+    is_suspect: bool,
+    /// The number of servers that were known to have ended under the request when it was sent.
+    known_ends: usize,
 }
 
 impl AttemptGuard {
@@ -145,6 +155,9 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        if self.is_suspect {
+            self.process.table.borrow_mut().suspect_ended(self.server);
+        }
         if !self.reported {
             self.report(if self.sent.is_some() {
                 Observation::Abandoned
@@ -175,7 +188,16 @@
     extra: bool,
 ) -> impl Future<Output = Completed> {
     let started = process.clock.now();
-    process.table.borrow_mut().started(started, server);
+    let is_suspect = caller_request.broke_off.get()
+        || breaks::standing(&process, &caller_request) != Standing::Clear;
+    caller_request.is_trial.set(false);
+    {
+        let mut table = process.table.borrow_mut();
+        table.started(started, server);
+        if is_suspect {
+            table.suspect_sent(server);
+        }
+    }
     let mut guard = AttemptGuard {
         process: Rc::clone(&process),
         server,
@@ -184,9 +206,14 @@
         extra,
         usual_service_time,
         reported: false,
+        is_suspect,
+        known_ends: 0,
     };
     async move {
         let outcome = send(&process, &caller_request, server, &mut guard).await;
+        if matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Failed(_)) {
+            breaks::on_answer(&process, &caller_request);
+        }
         let service_time = match &outcome {
             AttemptOutcome::Answered(reply) => {
                 guard.report(Observation::Replied { load: reply.headers.load })
@@ -247,6 +274,7 @@
     *request.uri_mut() = caller_request.uri.clone();
     *request.headers_mut() = headers;
     guard.sent = Some(now);
+    guard.known_ends = breaks::known_ends(process, caller_request);
     process.sends.set(process.sends.get() + 1);
     if process.table.borrow_mut().sent(now, server, guard.extra) {
         process.metrics.record_limited_send(guard.extra);
@@ -257,7 +285,7 @@
         Err(mut error) => {
             process.table.borrow_mut().unheard(process.clock.now(), server);
             if error.take_message().is_none() {
-                breaks::on_break(process, caller_request, server);
+                breaks::on_break(process, caller_request, server, guard.known_ends);
                 return AttemptOutcome::Unknown("the connection broke before a reply");
             }
             guard.sent = None;
@@ -282,7 +310,7 @@
     let (body, held) = match read_body(process, body).await {
         Ok(body) => body,
         Err(why) => {
-            breaks::on_break(process, caller_request, server);
+            breaks::on_break(process, caller_request, server, guard.known_ends);
             return AttemptOutcome::Unknown(why);
         }
     };
--- a/crates/process/entry/src/heartbeat.rs
+++ b/crates/process/entry/src/heartbeat.rs
@@ -9,7 +9,9 @@
 use crate::limits;
 use crate::members::HEARTBEAT_INTERVAL;
 use crate::members::Heartbeat;
+use crate::members::Status;
 use crate::members::is_slow;
+use crate::notices;
 use crate::pace;
 use crate::pace::Pace;
 use crate::process::Process;
@@ -151,6 +153,9 @@
                 continue;
             }
         };
+        if notices::on_datagram(&process, from, &buffer[..length]) {
+            continue;
+        }
         let heartbeat: Heartbeat = match rmp_serde::from_slice(&buffer[..length]) {
             Ok(heartbeat) => heartbeat,
             Err(error) => {
@@ -169,6 +174,10 @@
             let mut members = process.members.borrow_mut();
             (members.on_heartbeat(now, ip, heartbeat), members.status(now, ip))
         };
+        if before == Status::Silent {
+            // It may have just started.
+            process.ledger_changed.notify_one();
+        }
         if before != after {
             log::info!(target: "members", node = name.as_ref(), before:? = before, now:? = after; "A node's status changed.");
         }
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod listener;
 mod lookup;
 mod metrics;
+mod notices;
 mod path;
 mod process;
 mod read;
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -38,6 +38,8 @@
     forwards: Counter<u64>,
     dropped_replies: Counter<u64>,
     ended_servers: Counter<u64>,
+    blocked_requests: Gauge<u64>,
+    blocks: Counter<u64>,
     registry_calls: Counter<u64>,
     peer_polls: Counter<u64>,
     reach: Gauge<u64>,
@@ -65,6 +67,8 @@
             attempts: meter.u64_counter("heatherseam_attempts").build(),
             extra_sends: meter.u64_counter("heatherseam_extra_sends").build(),
             dropped_replies: meter.u64_counter("heatherseam_replies_dropped").build(),
+            blocked_requests: meter.u64_gauge("heatherseam_poison_requests").build(),
+            blocks: meter.u64_counter("heatherseam_poison_changes").build(),
             ended_servers: meter.u64_counter("heatherseam_servers_ended").build(),
             forwards: meter.u64_counter("heatherseam_requests_passed_on").build(),
             limited_sends: meter.u64_counter("heatherseam_limited_sends").build(),
@@ -127,6 +131,16 @@
         self.ended_servers.add(1, &[]);
     }
 
+    /// Records the number of requests that are blocked since they end servers.
+    pub(crate) fn record_blocked_requests(&self, count: usize) {
+        self.blocked_requests.record(count as u64, &[]);
+    }
+
+    /// Counts a change of what is known of requests that may end servers.
+    pub(crate) fn record_poison_change(&self, change: &'static str) {
+        self.blocks.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Counts a call to the registry.
     pub(crate) fn record_registry_call(&self, result: &'static str) {
         self.registry_calls.add(1, &[KeyValue::new("result", result)]);
--- /dev/null
+++ b/crates/process/entry/src/notices.rs
@@ -0,0 +1,99 @@
+//! Tells other nodes of requests that may end servers: at once after a change, to all nodes, and
+//! again with the heartbeats, since datagrams are lost. Nothing is sent while no request is
+//! suspected.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::breaks;
+use crate::members::HEARTBEAT_INTERVAL;
+use crate::process::Process;
+use poison::notice::Notice;
+
+/// Begins a datagram with notices. MessagePack does not use this byte, so no heartbeat begins
+/// with it.
+const MARK: u8 = 0xc1;
+/// The minimum interval between two messages.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Notices without recent changes are repeated once in so many heartbeats.
+const STALE_INTERVALS: u64 = 10;
+
+/// Sends notices for as long as the process runs.
+pub(crate) async fn send(process: Rc<Process>, socket: Rc<UdpSocket>) {
+    for number in 0.. {
+        let has_changed = tokio::select! {
+            () = process.ledger_changed.notified() => true,
+            () = sleep(HEARTBEAT_INTERVAL) => false,
+        };
+        if process.ledger.borrow().is_empty() {
+            continue;
+        }
+        send_to_targets(&process, &socket, number, has_changed).await;
+        sleep(MIN_INTERVAL).await;
+    }
+}
+
+async fn send_to_targets(process: &Process, socket: &UdpSocket, number: u64, has_changed: bool) {
+    let now = process.clock.now();
+    let notices = {
+        let mut ledger = process.ledger.borrow_mut();
+        ledger.expire(now);
+        if !has_changed && !ledger.is_fresh(now) && !number.is_multiple_of(STALE_INTERVALS) {
+            return;
+        }
+        ledger.notices(now, number)
+    };
+    if notices.is_empty() {
+        return;
+    }
+    let Some(datagram) = encode(&notices) else { return };
+    for ip in targets(process, number, has_changed) {
+        let to = SocketAddr::new(ip, process.settings.peer_port);
+        if let Err(error) = socket.send_to(&datagram, to).await {
+            log::debug!(target: "poison", "Notices to {to} were not sent: {error}.");
+        }
+    }
+}
+
+fn encode(notices: &[Notice]) -> Option<Vec<u8>> {
+    let mut datagram = vec![MARK];
+    match rmp_serde::encode::write(&mut datagram, notices) {
+        Ok(()) => Some(datagram),
+        Err(error) => {
+            log::error!(target: "poison", error:% = error; "Notices can't be encoded.");
+            None
+        }
+    }
+}
+
+/// All nodes after a change, else those that get a heartbeat.
+fn targets(process: &Process, number: u64, has_changed: bool) -> Vec<IpAddr> {
+    let members = process.members.borrow();
+    if has_changed {
+        return members.addresses();
+    }
+    let serving = process.role.borrow().is_serving();
+    members.targets(process.clock.now(), number, serving, process.leaving.get())
+}
+
+/// Handles a datagram of another node; returns whether it holds notices.
+pub(crate) fn on_datagram(process: &Process, from: SocketAddr, datagram: &[u8]) -> bool {
+    let Some((&MARK, bytes)) = datagram.split_first() else { return false };
+    let notices: Vec<Notice> = match rmp_serde::from_slice(bytes) {
+        Ok(notices) => notices,
+        Err(error) => {
+            log::warn!(target: "poison", from:% = from, error:% = error; "Notices can't be decoded.");
+            return true;
+        }
+    };
+    for notice in &notices {
+        let change = process.ledger.borrow_mut().on_notice(process.clock.now(), notice);
+        breaks::report(process, notice.identity, change);
+    }
+    true
+}
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -38,6 +38,7 @@
 use crate::upstream::Pool;
 use base::entity::Server;
 use base::time::Time;
+use poison::ledger::Ledger;
 use replica::budget::Budget;
 use replica::service_time::Estimator;
 use replica::table::Table;
@@ -62,6 +63,10 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) route_stats: RefCell<StatsByRoute>,
     pub(crate) pool: Pool,
+    /// The requests that may end servers.
+    pub(crate) ledger: RefCell<Ledger>,
+    /// Notified when other nodes must hear of a change of it.
+    pub(crate) ledger_changed: Notify,
     /// The requests that broke off at servers which may have ended.
     pub(crate) breaks: RefCell<Breaks>,
     /// The memory of the replies in progress.
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -31,6 +31,7 @@
 use crate::members::Peer;
 use crate::members::WHOLE_REACH;
 use crate::metrics::Metrics;
+use crate::notices;
 use crate::path;
 use crate::process::Feeds;
 use crate::process::Process;
@@ -47,6 +48,7 @@
 use crate::upstream::Pool;
 use crate::watcher;
 use base::time::Time;
+use poison::ledger::Ledger;
 use replica::budget::Budget;
 use replica::table::Locality;
 use replica::table::Table;
@@ -128,6 +130,7 @@
     spawn_local(listener::accept(Rc::clone(&process), peers, relay::handle));
     spawn_local(relay::follow(Rc::clone(&process)));
     spawn_local(heartbeat::send(Rc::clone(&process), Rc::clone(&socket)));
+    spawn_local(notices::send(Rc::clone(&process), Rc::clone(&socket)));
     spawn_local(heartbeat::receive(Rc::clone(&process), socket));
 
     let mut last = Ok(process.settings.clone());
@@ -195,6 +198,8 @@
         budget: RefCell::new(budget),
         route_stats: RefCell::new(StatsByRoute::default()),
         pool: Pool::new(clock),
+        ledger: RefCell::new(Ledger::new(rng.random())),
+        ledger_changed: Notify::new(),
         breaks: RefCell::default(),
         reply_memory: Rc::new(Memory::new(settings.memory)),
         forwards: forward::Connections::default(),
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -18,6 +18,7 @@
 use hyper::http::HeaderName;
 use hyper::http::HeaderValue;
 
+use crate::breaks;
 use crate::drive;
 use crate::exchange::CallerRequest;
 use crate::exchange::Reply;
@@ -115,6 +116,9 @@
         leaves_reserve: leaves_reserve(&process, &route),
         may_be_passed_on: may_pass_on,
         possible_runs: Cell::new(0),
+        answered: Cell::new(false),
+        broke_off: Cell::new(false),
+        is_trial: Cell::new(false),
         identity: OnceCell::new(),
     });
     run(&process, &router, &route, caller_request, arrived).await
@@ -138,6 +142,7 @@
     {
         return answer;
     }
+    breaks::begin(process, &caller_request);
     let mut trace = Trace::default();
     let request = Rc::clone(&caller_request);
     let response = drive::run(process, Machine::new(plan), request, stats, &mut trace).await;
@@ -157,7 +162,7 @@
     if !record_outcome(process, router, route, &caller_request, arrived, &response) {
         trace.log(process, &caller_request, arrived, route.objective);
     }
-    answer(process, route, response)
+    answer(process, route, &caller_request, response)
 }
 
 /// Whether another node reaches more services than this one, which has lost its path to so many of
@@ -234,7 +239,12 @@
 }
 
 /// The answer to the caller.
-fn answer(process: &Process, route: &Route, response: event::Response<Reply>) -> Answer {
+fn answer(
+    process: &Process,
+    route: &Route,
+    caller_request: &CallerRequest,
+    response: event::Response<Reply>,
+) -> Answer {
     let missing = response.missing.len();
     match response.outcome {
         Outcome::Answer(replies) => match &route.fanout {
@@ -249,7 +259,11 @@
         },
         Outcome::Failure(reply) => forward_reply(reply),
         Outcome::NotRun => {
-            let after = retry_after(process, route, &response.missing);
+            let blocked_until = breaks::blocked_until(process, caller_request);
+            let after = match blocked_until {
+                Some(until) => until.since(process.clock.now()),
+                None => retry_after(process, route, &response.missing),
+            };
             empty_answer(StatusCode::SERVICE_UNAVAILABLE, Some(after))
         }
         Outcome::Unknown if response.missing.iter().any(|(_, cause)| *cause == Cause::Timeout) => {
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -6,6 +6,7 @@
 use base::entity::Server;
 use base::entity::Service;
 use base::time::Time;
+use poison::ledger::Standing;
 use replica::table::Selection;
 
 /// An input of the machine.
@@ -131,6 +132,8 @@
     Failed,
     /// The budget of extra sends is used up.
     Budget,
+    /// The request ends the servers that run it.
+    Poison,
     /// It had not answered when the response was returned.
     Timeout,
 }
@@ -146,6 +149,7 @@
             Self::Limited => "limited",
             Self::Failed => "failed",
             Self::Budget => "budget spent",
+            Self::Poison => "poison request",
             Self::Timeout => "timeout",
         }
     }
@@ -172,6 +176,11 @@
         false
     }
 
+    /// Whether the request may have ended the servers that ran it.
+    fn standing(&mut self, _now: Time) -> Standing {
+        Standing::Clear
+    }
+
     /// Counts the first send to `service`.
     fn first_send(&mut self, now: Time, service: Service);
 
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -3,7 +3,8 @@
 //! Invariants: a request that must not run twice is sent again only if it
 //! certainly has not run. The answer of a service is used once. The response is
 //! returned once, as soon as no attempt in flight can improve it, and at the
-//! plan's deadline at the latest.
+//! plan's deadline at the latest. A request that is suspected of ending servers is at one server
+//! at a time, and one that is blocked is sent to none.
 
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use base::entity::Attempt;
 use base::entity::Service;
 use base::time::Time;
+use poison::ledger::Standing;
 use replica::table::Selection;
 
 /// The fraction of the budget that hedges may use: the rest is reserved for requests that a
@@ -86,7 +88,10 @@
         }
         match event {
             Event::Start => self.start(now, balancer, actions),
-            Event::Answered { attempt, reply } => self.answered(attempt, reply),
+            Event::Answered { attempt, reply } => {
+                self.answered(attempt, reply);
+                self.release(now, balancer, actions);
+            }
             Event::Ended { attempt, completion } => {
                 self.ended(now, attempt, completion, balancer, actions)
             }
@@ -117,11 +122,19 @@
             }
         }
         let too_few = chosen.len() < self.plan.min_services;
+        let mut may_send = match balancer.standing(now) {
+            Standing::Clear => usize::MAX,
+            Standing::Suspect => 1,
+            Standing::Held => 0,
+            Standing::Blocked { .. } | Standing::TrialDue => return self.block(),
+        };
         let mut next = chosen.into_iter().peekable();
         for index in 0..self.progress.len() {
             let selection = next.next_if(|(other, _)| *other == index);
             match selection {
+                Some(_) if !too_few && may_send == 0 => self.hold(now, index),
                 Some((_, selection)) if !too_few => {
+                    may_send -= 1;
                     balancer.first_send(now, self.plan.services[index]);
                     self.send(now, index, selection, Purpose::First, false, balancer, actions);
                 }
@@ -130,6 +143,32 @@
         }
     }
 
+    /// Gives all services up, since the request is blocked.
+    fn block(&mut self) {
+        for index in 0..self.progress.len() {
+            self.progress[index].cause = Cause::Poison;
+            self.give_up(index);
+        }
+    }
+
+    /// Lets a service wait until it is known whether the request ends servers.
+    fn hold(&mut self, now: Time, index: usize) {
+        self.progress[index].next_attempt_at = now + DEFER_DELAY;
+    }
+
+    /// Sends to the services that were held, if an answer has cleared the request.
+    fn release(&mut self, now: Time, balancer: &mut dyn Balancer, actions: &mut Vec<Action<R>>) {
+        let is_held = |progress: &Progress<R>| progress.is_pending() && progress.sends == 0;
+        if !self.progress.iter().any(is_held) || balancer.standing(now) != Standing::Clear {
+            return;
+        }
+        for index in 0..self.progress.len() {
+            if is_held(&self.progress[index]) {
+                self.try_next(now, index, Purpose::First, balancer, actions);
+            }
+        }
+    }
+
     /// Sends to one more server of a service, if the limits allow it.
     fn try_next(
         &mut self,
@@ -145,6 +184,20 @@
         if progress.possible_runs >= self.plan.max_attempts || progress.sends >= MAX_SENDS {
             return self.give_up(index);
         }
+        let is_in_flight = self.progress.iter().any(|progress| progress.in_flight > 0);
+        match balancer.standing(now) {
+            Standing::Clear => {}
+            Standing::Suspect if !is_in_flight => {}
+            Standing::Suspect | Standing::Held => return self.hold(now, index),
+            Standing::Blocked { .. } | Standing::TrialDue if is_in_flight => {
+                return self.hold(now, index);
+            }
+            Standing::Blocked { .. } | Standing::TrialDue => {
+                self.progress[index].cause = Cause::Poison;
+                return self.give_up(index);
+            }
+        }
+        let progress = &self.progress[index];
         let Some(selection) =
             balancer.choose(now, service, self.plan.usual_service_time, &progress.tried)
         else {
@@ -159,6 +212,9 @@
         if extra && !self.take_extra(now, index, purpose, balancer) {
             return self.defer(now, index, purpose, Cause::Budget);
         }
+        if self.progress[index].sends == 0 {
+            balancer.first_send(now, service);
+        }
         self.send(now, index, selection, purpose, extra, balancer, actions);
     }
 
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -6,7 +6,9 @@
 use base::entity::Server;
 use base::entity::Service;
 use base::time::Time;
+use poison::ledger::Standing;
 use replica::budget::Budget;
+use replica::table::Choice;
 use replica::table::Selection;
 use replica::table::Table;
 
@@ -16,8 +18,10 @@
     pub table: &'a mut Table,
     /// The budget of extra sends.
     pub budget: &'a mut Budget,
-    /// Whether the request leaves a part of what limited servers take to more urgent ones.
-    pub leaves_reserve: bool,
+    /// How a server is chosen for the request.
+    pub choice: Choice,
+    /// Whether the request may have ended the servers that ran it.
+    pub standing: Standing,
 }
 
 impl Balancer for NodeBalancer<'_> {
@@ -29,8 +33,12 @@
         tried: &[Server],
     ) -> Option<Selection> {
         let used_fraction = self.budget.used_fraction(now, service);
-        let (table, reserve) = (&mut *self.table, self.leaves_reserve);
-        table.choose_within(now, service, usual_service_time, used_fraction, tried, reserve)
+        let (table, choice) = (&mut *self.table, self.choice);
+        table.choose_within(now, service, usual_service_time, used_fraction, tried, choice)
+    }
+
+    fn standing(&mut self, _now: Time) -> Standing {
+        self.standing
     }
 
     fn accepts_at(&mut self, now: Time, service: Service) -> Option<Time> {
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -26,11 +26,13 @@
 use gather::machine::Machine;
 use gather::plan::Plan;
 use gather::resources::NodeBalancer;
+use poison::ledger::Standing;
 use replica::budget;
 use replica::budget::Budget;
 use replica::record::Load;
 use replica::service_time::Estimator;
 use replica::table;
+use replica::table::Choice;
 use replica::table::Locality;
 use replica::table::Table;
 use site::fleet::Change;
@@ -364,7 +366,8 @@
         let mut balancer = NodeBalancer {
             table: &mut node.table,
             budget: &mut node.budget,
-            leaves_reserve: false,
+            choice: Choice::default(),
+            standing: Standing::Clear,
         };
         entry.machine.handle(now, event, &mut balancer, &mut actions);
         for action in actions {
--- a/crates/request/gather/tests/turned_away.rs
+++ b/crates/request/gather/tests/turned_away.rs
@@ -16,8 +16,10 @@
 use gather::plan::Plan;
 use gather::refusal;
 use gather::resources::NodeBalancer;
+use poison::ledger::Standing;
 use replica::budget;
 use replica::budget::Budget;
+use replica::table::Choice;
 use replica::table::Locality;
 use replica::table::Observation;
 use replica::table::Table;
@@ -83,7 +85,8 @@
             let mut balancer = NodeBalancer {
                 table: &mut self.table,
                 budget: &mut self.budget,
-                leaves_reserve: false,
+                choice: Choice::default(),
+                standing: Standing::Clear,
             };
             machine.handle(now, event, &mut balancer, &mut actions);
             for action in actions {
--- /dev/null
+++ b/crates/request/poison/src/record.rs
@@ -0,0 +1,190 @@
+//! What is known of one request.
+
+use std::time::Duration;
+
+use crate::identity::Identity;
+use crate::notice;
+use crate::notice::Notice;
+use base::time::Time;
+
+/// The number of servers that a request must have ended, one after the other, to be blocked.
+pub(crate) const BLOCKING_ENDS: usize = 3;
+/// The time after the last of these ends in which an answer to the same request, at any node,
+/// still prevents the block: longer than most runs, so that one that is in progress may end.
+const SETTLING_TIME: Duration = Duration::from_millis(200);
+/// How long a request is blocked before the first trial, and between trials; doubled with each
+/// trial that ends a server, as far as ends are kept.
+const BLOCK_TIME: Duration = Duration::from_secs(60);
+/// The trials of different nodes are due at different times within this span, so that the first
+/// one is known to the others.
+const TRIAL_SPREAD: Duration = Duration::from_secs(10);
+/// How long a request stays suspected after the last end.
+const SUSPECT_LIFETIME: Duration = Duration::from_secs(60);
+/// How long a blocked request is remembered after its trial was due.
+const BLOCKED_LIFETIME: Duration = Duration::from_secs(600);
+/// How long it is remembered that a request did not cause the end of some servers.
+const REFUTED_LIFETIME: Duration = Duration::from_secs(20);
+/// The maximum number of ends that are kept.
+const MAX_ENDS: usize = 5;
+/// The maximum number of refuted ends that are kept.
+const MAX_REFUTED: usize = 6;
+
+/// The end of a server that ran the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct End {
+    pub(crate) server: u32,
+    pub(crate) at: Time,
+    /// Whether it is known that the server has ended, and not just a connection to it.
+    pub(crate) proven: bool,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Record {
+    /// Servers that ended one after the other: each run began when the ends before it were known.
+    pub(crate) ends: Vec<End>,
+    pub(crate) refuted: Vec<u32>,
+    trial_at: Option<Time>,
+    pub(crate) changed_at: Time,
+}
+
+impl Record {
+    fn proven(&self) -> impl Iterator<Item = &End> {
+        self.ends.iter().filter(|end| end.proven)
+    }
+
+    pub(crate) fn has_ended(&self, server: u32) -> bool {
+        self.ends.iter().any(|end| end.server == server)
+    }
+
+    /// Whether it has ended enough servers to be blocked, or will be once that is certain.
+    pub(crate) fn is_condemned(&self) -> bool {
+        self.proven().count() >= BLOCKING_ENDS
+    }
+
+    /// Whether an answer to it may still prevent the block.
+    pub(crate) fn is_settling(&self, now: Time) -> bool {
+        self.ends.len() == BLOCKING_ENDS && now.since(self.last_end()) < SETTLING_TIME
+    }
+
+    fn last_end(&self) -> Time {
+        self.ends.iter().map(|end| end.at).max().unwrap_or_default()
+    }
+
+    /// When a node may try it again whose share of [`TRIAL_SPREAD`] is `spread`, from 0 to 1.
+    pub(crate) fn trial_due(&self, spread: f64) -> Time {
+        let last = self.last_end().max(self.trial_at.unwrap_or_default());
+        let doublings = self.ends.len().saturating_sub(BLOCKING_ENDS) as u32;
+        last + BLOCK_TIME * (1 << doublings) + TRIAL_SPREAD.mul_f64(spread)
+    }
+
+    pub(crate) fn begin_trial(&mut self, now: Time) {
+        self.trial_at = Some(now);
+        self.changed_at = now;
+    }
+
+    /// Adds the end of a server whose run began when `known` ends were known. Runs that overlap
+    /// count once: they may all have been ended by another request or cause.
+    pub(crate) fn add(&mut self, now: Time, server: u32, known: usize) -> bool {
+        let is_new = !self.refuted.contains(&server) && !self.has_ended(server);
+        let follows = known >= self.ends.len() && self.ends.len() < MAX_ENDS;
+        if is_new && follows {
+            self.ends.push(End { server, at: now, proven: false });
+        }
+        is_new && follows
+    }
+
+    /// Removes the ends that `is_explained` selects; returns whether there were any.
+    pub(crate) fn remove(&mut self, is_explained: impl Fn(&End) -> bool) -> bool {
+        let before = self.ends.len();
+        self.ends.retain(|end| !is_explained(end));
+        self.ends.len() < before
+    }
+
+    /// Whether nothing is known that other nodes would need.
+    pub(crate) fn is_void(&self) -> bool {
+        self.ends.is_empty() && self.refuted.is_empty()
+    }
+
+    /// Clears it of all ends so far.
+    pub(crate) fn refute(&mut self, now: Time) {
+        let servers: Vec<u32> = self.proven().map(|end| end.server).collect();
+        self.ends.clear();
+        servers.into_iter().for_each(|server| self.add_refuted(server));
+        self.trial_at = None;
+        self.changed_at = now;
+    }
+
+    fn add_refuted(&mut self, server: u32) {
+        if self.refuted.contains(&server) {
+            return;
+        }
+        self.refuted.push(server);
+        if self.refuted.len() > MAX_REFUTED {
+            self.refuted.remove(0);
+        }
+    }
+
+    /// Whether it is of no use any more.
+    pub(crate) fn is_expired(&self, now: Time) -> bool {
+        let lifetime = match self.ends.len() {
+            0 => return self.is_void() || now.since(self.changed_at) >= REFUTED_LIFETIME,
+            _ if self.is_condemned() => {
+                return now.since(self.trial_due(1.0)) >= BLOCKED_LIFETIME;
+            }
+            _ => SUSPECT_LIFETIME,
+        };
+        self.ends.iter().all(|end| now.since(end.at) >= lifetime)
+    }
+
+    /// What other nodes are told; `None` if nothing is proven.
+    pub(crate) fn notice(&self, now: Time, identity: Identity) -> Option<Notice> {
+        let age_ms = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        let ends: Vec<notice::End> = self
+            .proven()
+            .map(|end| notice::End { server: end.server, age_ms: age_ms(end.at) })
+            .collect();
+        let refuted = self.refuted.clone();
+        let is_empty = ends.is_empty() && refuted.is_empty();
+        let trial_age_ms = self.trial_at.map(age_ms);
+        (!is_empty).then_some(Notice { identity, ends, refuted, trial_age_ms })
+    }
+
+    /// Takes over what another node knows; returns whether that was new.
+    pub(crate) fn merge(&mut self, now: Time, notice: &Notice) -> bool {
+        let time = |age_ms: u32| now.before(Duration::from_millis(u64::from(age_ms)));
+        let mut changed = false;
+        for server in notice.refuted.iter().take(MAX_REFUTED) {
+            changed |= !self.refuted.contains(server);
+            self.add_refuted(*server);
+        }
+        let refuted = self.refuted.clone();
+        changed |= self.remove(|end| refuted.contains(&end.server));
+        let ends = notice.ends.iter().filter(|end| !refuted.contains(&end.server));
+        let ends: Vec<&notice::End> = ends.take(MAX_ENDS).collect();
+        // Ends that overlap are on no list together, so the longer list is taken.
+        for end in &ends {
+            let count = self.ends.len();
+            match self.ends.iter_mut().find(|known| known.server == end.server) {
+                Some(known) => {
+                    changed |= !known.proven;
+                    known.proven = true;
+                }
+                None if count < ends.len() => {
+                    self.ends.push(End { server: end.server, at: time(end.age_ms), proven: true });
+                    changed = true;
+                }
+                None => {}
+            }
+        }
+        if let Some(age_ms) = notice.trial_age_ms
+            && !self.ends.is_empty()
+        {
+            self.trial_at = self.trial_at.max(Some(time(age_ms)));
+        }
+        if changed {
+            self.changed_at = now;
+        }
+        changed
+    }
+}
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -100,6 +100,8 @@
     /// When the next trial may be sent to a server that turned requests away; `None` if it
     /// gets all requests.
     trial_at: Option<Time>,
+    /// The number of this node's requests there that may end it.
+    pub(crate) suspects: u32,
     /// The limit that it names at present.
     pub(crate) limit: Option<Limit>,
     /// Whether its last reply named a limit that can't be read.
@@ -135,6 +137,7 @@
             consecutive_failures: 0,
             ejected_until: Time::ZERO,
             trial_at: None,
+            suspects: 0,
             limit: None,
             names_unreadable: false,
             unlimited_at: Time::ZERO,
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -96,6 +96,20 @@
 /// The maximum fraction by which a cost is raised at random, so that nodes don't all
 /// choose the same server.
 const COST_JITTER: f64 = 0.06;
+/// The same for a request that goes to any server.
+const SPREAD_JITTER: f64 = 20.0;
+/// Added to the cost of a server at which a request runs that may end it.
+const SUSPECT_COST: Duration = Duration::from_millis(200);
+
+/// How a server is chosen for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Choice {
+    /// Whether the request leaves a part of what servers with a limit take to more urgent ones.
+    pub leaves_reserve: bool,
+    /// Whether it goes to any server, not to the best one: another attempt broke off, and the
+    /// requests that ran beside it, one of which may have ended the server, must not meet again.
+    pub spreads: bool,
+}
 
 /// A chosen server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -318,6 +332,9 @@
         if now < record.ejected_until {
             cost += EJECTED_COST;
         }
+        if record.suspects > 0 {
+            cost += SUSPECT_COST;
+        }
         if record.entry_missing {
             cost += MISSING_ENTRY_COST;
         }
@@ -330,6 +347,12 @@
         hash::stable(incarnation.born, &[&incarnation.id]) as u32
     }
 
+    /// The id of the server with a key; the key itself if it is not in use.
+    pub fn name_of(&self, key: u32) -> String {
+        let server = self.by_key.get(&key);
+        server.map_or_else(|| format!("{key:08x}"), |s| self.servers[*s].incarnation.id.to_string())
+    }
+
     /// The server of `service` with the lowest cost, except those in `tried`, for a
     /// request that usually takes `usual_service_time`; `used_fraction` is the fraction
     /// of the budget of extra sends that would be used after one more send.
@@ -341,11 +364,11 @@
         used_fraction: f64,
         tried: &[Server],
     ) -> Option<Selection> {
-        self.choose_within(now, service, usual_service_time, used_fraction, tried, false)
+        let choice = Choice::default();
+        self.choose_within(now, service, usual_service_time, used_fraction, tried, choice)
     }
 
-    /// Like [`Self::choose`]. If `leaves_reserve`, the request leaves a part of what servers
-    /// with a limit take to more urgent ones.
+    /// Like [`Self::choose`], for a request that is not like any other.
     pub fn choose_within(
         &mut self,
         now: Time,
@@ -353,8 +376,9 @@
         usual_service_time: Duration,
         used_fraction: f64,
         tried: &[Server],
-        leaves_reserve: bool,
+        choice: Choice,
     ) -> Option<Selection> {
+        let max_jitter = if choice.spreads { SPREAD_JITTER } else { COST_JITTER };
         self.considered.clear();
         let mut best: Option<(Duration, Server, Duration)> = None;
         for index in 0..self.servers_by_service[service].len() {
@@ -362,14 +386,14 @@
             if tried.contains(&server) || !self.servers[server].accepts(now) {
                 continue;
             }
-            let jitter = 1.0 + COST_JITTER * self.rng.random::<f64>();
+            let jitter = 1.0 + max_jitter * self.rng.random::<f64>();
             let expected = self.expected_latency(now, server, usual_service_time);
             let cost =
                 self.cost(now, server, expected, usual_service_time, used_fraction.clamp(0.0, 1.0));
             let cost = cost.mul_f64(jitter);
             if let Some(limit) = &self.servers[server].limit {
                 self.considered.push((cost, server));
-                if !limit.admits(now, leaves_reserve) {
+                if !limit.admits(now, choice.leaves_reserve) {
                     continue;
                 }
             }
@@ -510,6 +534,17 @@
         }
     }
 
+    /// Records that a request which may end the server is sent to it.
+    pub fn suspect_sent(&mut self, server: Server) {
+        self.servers[server].suspects += 1;
+    }
+
+    /// Records that a request which was passed to [`Self::suspect_sent`] no longer runs there.
+    pub fn suspect_ended(&mut self, server: Server) {
+        let record = &mut self.servers[server];
+        record.suspects = record.suspects.saturating_sub(1);
+    }
+
     /// Records the outcome of an attempt that was passed to [`Self::started`] at `started`
     /// and left this node at `sent`; returns the service time if the server answered
     /// successfully.
--- a/crates/version/replica/tests/named_limit.rs
+++ b/crates/version/replica/tests/named_limit.rs
@@ -10,6 +10,7 @@
 use replica::limit::Change;
 use replica::limit::Quota;
 use replica::limit::Stated;
+use replica::table::Choice;
 use replica::table::Locality;
 use replica::table::Observation;
 use replica::table::Table;
@@ -130,7 +131,8 @@
     name_limit(&mut table, START, servers[0], 10.0);
     let now = START + Duration::from_millis(150);
     let choose = |table: &mut Table, leaves_reserve| {
-        table.choose_within(now, service, SERVICE_TIME, 0.0, &[], leaves_reserve).is_some()
+        let choice = Choice { leaves_reserve, ..Choice::default() };
+        table.choose_within(now, service, SERVICE_TIME, 0.0, &[], choice).is_some()
     };
     assert!(!choose(&mut table, true));
     assert!(choose(&mut table, false));
