poison, entry: repeats of a suspect are one at a time, notices are repeated; operators end blocks

A suspected request now waits while another run of it at the node, or the proof of a third end, is open, and a message about a change is sent twice.

Operators list blocked requests on the port of the metrics (GET /blocked) and end a block at all nodes (DELETE /blocked/REQUEST). A blocked search is given up as a whole at once, not shard by shard; tests of searches that are suspected, held and blocked. Processes: seven tests of poison_requests pass, among them a popular request beside one that ends servers, other bodies and callers, and a node that starts later.

--- /dev/null
+++ b/crates/process/entry/src/admin.rs
@@ -0,0 +1,78 @@
+//! Answers operators on the port of the metrics: the metrics, and the requests that are blocked
+//! since they end servers.
+//!
+//!     GET /metrics
+//!     GET /blocked                    the blocked requests, as JSON
+//!     DELETE /blocked/REQUEST         ends a block, at all nodes
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::http::HeaderValue;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::breaks;
+use crate::process::Process;
+use crate::serve;
+use crate::serve::Answer;
+use poison::identity::Identity;
+
+const METRICS_PATH: &str = "/metrics";
+const BLOCKED_PATH: &str = "/blocked";
+
+/// Answers a request of an operator.
+pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path();
+    match (request.method(), path) {
+        (&Method::GET, METRICS_PATH) => {
+            Answer::new(Full::new(Bytes::from(process.metrics.encode())))
+        }
+        (&Method::GET, BLOCKED_PATH) => list(&process),
+        (&Method::DELETE, _) => match path.strip_prefix(BLOCKED_PATH) {
+            Some(name) => release(&process, name.trim_start_matches('/')),
+            None => serve::empty_answer(StatusCode::NOT_FOUND, None),
+        },
+        _ => serve::empty_answer(StatusCode::NOT_FOUND, None),
+    }
+}
+
+fn list(process: &Process) -> Answer {
+    let now = process.clock.now();
+    let ledger = process.ledger.borrow();
+    let table = process.table.borrow();
+    let entry = |identity: Identity| -> Value {
+        let ends = ledger.ended_servers(identity).into_iter();
+        let servers: Vec<Value> = ends
+            .map(|(server, at)| {
+                json!({ "server": table.name_of(server), "ended_ms_ago": now.since(at).as_millis() as u64 })
+            })
+            .collect();
+        let left = ledger.blocked_until(identity).since(now);
+        json!({
+            "request": identity.to_string(),
+            "servers": servers,
+            "tried_in_ms": left.as_millis() as u64
+        })
+    };
+    let blocked: Vec<Value> = ledger.blocked(now).map(entry).collect();
+    let mut answer = Answer::new(Full::new(Bytes::from(json!(blocked).to_string())));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+fn release(process: &Process, name: &str) -> Answer {
+    let now = process.clock.now();
+    let found = process.ledger.borrow().blocked(now).find(|identity| identity.to_string() == name);
+    let Some(identity) = found else { return serve::empty_answer(StatusCode::NOT_FOUND, None) };
+    log::info!(target: "poison", request = name; "An operator ends the block of a request.");
+    breaks::release(process, identity);
+    serve::empty_answer(StatusCode::NO_CONTENT, None)
+}
--- a/crates/process/entry/src/breaks.rs
+++ b/crates/process/entry/src/breaks.rs
@@ -66,6 +66,13 @@
     if ledger.is_empty() { 0 } else { ledger.ends(request.identity()) }
 }
 
+/// Takes note that a request is sent to a server; returns whether the run counts since the request
+/// is suspected.
+pub(crate) fn run_begins(process: &Process, request: &CallerRequest) -> bool {
+    let mut ledger = process.ledger.borrow_mut();
+    !ledger.is_empty() && ledger.run_begins(request.identity())
+}
+
 /// Takes note that a server has run a request and answered it.
 pub(crate) fn on_answer(process: &Process, request: &CallerRequest) {
     request.answered.set(true);
@@ -77,6 +84,12 @@
     on_change(process, identity, change);
 }
 
+/// Ends the block of a request, as if a server had answered it.
+pub(crate) fn release(process: &Process, identity: Identity) {
+    let change = process.ledger.borrow_mut().answered(process.clock.now(), identity);
+    on_change(process, identity, change);
+}
+
 /// Takes note that a request broke off at `server`, which it was sent to when `known_ends` servers
 /// were known to have ended under it; checks the server unless that is under way.
 pub(crate) fn on_break(
@@ -140,7 +153,7 @@
         Change::Blocked => {
             let table = process.table.borrow();
             let keys = ledger.ended_servers(identity);
-            let names = keys.iter().map(|key| table.name_of(*key)).collect::<Vec<_>>();
+            let names = keys.iter().map(|(key, _)| table.name_of(*key)).collect::<Vec<_>>();
             log::warn!(target: "poison", request:% = identity, servers = names.join(", "); "A request has ended servers one after the other and is blocked.");
             "blocked"
         }
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -137,6 +137,8 @@
     reported: bool,
     /// Whether the request may end the server.
     is_suspect: bool,
+    /// The request, if its run counts in the ledger.
+    counted: Option<Identity>,
     /// The number of servers that were known to have ended under the request when it was sent.
     known_ends: usize,
 }
@@ -155,6 +157,9 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        if let Some(identity) = self.counted {
+            self.process.ledger.borrow_mut().run_ends(identity);
+        }
         if self.is_suspect {
             self.process.table.borrow_mut().suspect_ended(self.server);
         }
@@ -207,6 +212,7 @@
         usual_service_time,
         reported: false,
         is_suspect,
+        counted: breaks::run_begins(&process, &caller_request).then(|| caller_request.identity()),
         known_ends: 0,
     };
     async move {
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod shares;
 pub mod source;
 
+mod admin;
 mod breaks;
 mod drive;
 mod exchange;
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -1,4 +1,4 @@
-//! Answers lookups of nodes, readiness checks and scrapes of the metrics.
+//! Answers lookups of nodes and readiness checks.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,23 +22,19 @@
 use crate::serve::Answer;
 use replica::table::Locality;
 
-const METRICS_PATH: &str = "/metrics";
 /// The maximum number of addresses in an answer.
 const MAX_ADDRESSES: usize = 64;
 /// The longest time that callers may cache an answer, unless the settings have a shorter
 /// one; a node accepts connections for longer than this after it starts to shut down.
 pub(crate) const MAX_LOOKUP_TTL: Duration = Duration::from_secs(2);
 
-/// Answers a lookup, a readiness check or a scrape.
+/// Answers a lookup or a readiness check.
 pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
     if process.protocol.is_readiness(request.uri()) {
         let status =
             if process.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return serve::empty_answer(status, None);
     }
-    if request.uri().path() == METRICS_PATH {
-        return Answer::new(Full::new(Bytes::from(process.metrics.encode())));
-    }
     let Some(lookup) = process.protocol.lookup(request.uri()) else {
         return serve::empty_answer(StatusCode::NOT_FOUND, None);
     };
--- a/crates/process/entry/src/notices.rs
+++ b/crates/process/entry/src/notices.rs
@@ -20,16 +20,22 @@
 const MARK: u8 = 0xc1;
 /// The minimum interval between two messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// The delay after which a message about a change is repeated, in case it was lost.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
 /// Notices without recent changes are repeated once in so many heartbeats.
 const STALE_INTERVALS: u64 = 10;
 
 /// Sends notices for as long as the process runs.
 pub(crate) async fn send(process: Rc<Process>, socket: Rc<UdpSocket>) {
+    let mut repeats = false;
     for number in 0.. {
-        let has_changed = tokio::select! {
+        let wait = if repeats { REPEAT_DELAY } else { HEARTBEAT_INTERVAL };
+        let is_change = tokio::select! {
             () = process.ledger_changed.notified() => true,
-            () = sleep(HEARTBEAT_INTERVAL) => false,
+            () = sleep(wait) => false,
         };
+        let has_changed = is_change || repeats;
+        repeats = is_change;
         if process.ledger.borrow().is_empty() {
             continue;
         }
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
+use crate::admin;
 use crate::clock::Clock;
 use crate::era;
 use crate::forward;
@@ -122,7 +123,7 @@
     }
     if let Some(address) = process.settings.metrics_address {
         let metrics = listen(address).await?;
-        spawn_local(listener::accept(Rc::clone(&process), metrics, lookup::handle));
+        spawn_local(listener::accept(Rc::clone(&process), metrics, admin::handle));
     }
     spawn_local(watcher::start(Rc::clone(&process)));
     spawn_local(watcher::expire_servers(Rc::clone(&process)));
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -263,6 +263,12 @@
         http::send(self.metrics_address, request("0", "GET", "/metrics", "")).await.is_ok()
     }
 
+    /// Sends a request to the port for operators.
+    pub async fn operate(&self, method: &str, path: &str) -> Response<Bytes> {
+        let request = http::send(self.metrics_address, request("0", method, path, ""));
+        with_timeout("a request of an operator", request).await.expect("a response")
+    }
+
     /// Its metrics as text.
     pub async fn metrics(&self) -> String {
         let scrape = http::send(self.metrics_address, request("0", "GET", "/metrics", ""));
--- a/crates/process/node/tests/poison_requests.rs
+++ b/crates/process/node/tests/poison_requests.rs
@@ -7,6 +7,8 @@
 use futures::future::join_all;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::http::HeaderValue;
+use serde_json::Value;
 use serde_json::json;
 
 use crate::deployed::Cluster;
@@ -16,6 +18,7 @@
 use crate::deployed::request;
 use fakes::crashing::Group;
 use fakes::instance::Poison;
+use fakes::wait::eventually;
 
 mod deployed;
 
@@ -51,8 +54,8 @@
 }
 
 impl Deployment {
-    async fn start(delay: Duration) -> Self {
-        let poison = Poison { mark: MARK, delay };
+    async fn start() -> Self {
+        let poison = Poison { mark: MARK, delay: RUN_TIME };
         let records = [record(9, 1), record(109, 2)].concat();
         let cluster = Cluster::start();
         let group = Group::start("many", &records, 12, RUN_TIME, poison).expect("servers");
@@ -119,6 +122,15 @@
         .await
     }
 
+    /// Sends the request that ends servers until it is blocked at all nodes.
+    async fn block(&self) {
+        let sent = self.send(Duration::from_millis(331), Duration::from_secs(3), |number| {
+            poison(&format!("p{number}"))
+        });
+        let last = sent.await.last().map(|answer| answer.status);
+        assert_eq!(last, Some(503));
+    }
+
     /// When the request had ended its third server.
     fn third_end(&self) -> Instant {
         let ends = self.group.ends();
@@ -145,7 +157,7 @@
 /// others saw: callers repeat it, under a new id and at any node.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_ends_servers_is_sent_to_few_of_them() {
-    let deployment = Deployment::start(RUN_TIME).await;
+    let deployment = Deployment::start().await;
     deployment.play_beside_others().await;
     let known_from = deployment.third_end() + STABILITY_WINDOW;
     let late = deployment.group.arrivals_since(known_from, |id| id.starts_with('p'));
@@ -157,7 +169,7 @@
 /// Guards against callers who get errors since another caller's request ends the servers.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_beside_a_request_that_ends_servers_are_served() {
-    let deployment = Deployment::start(RUN_TIME).await;
+    let deployment = Deployment::start().await;
     let answers = deployment.play_beside_others().await;
     let known_from = deployment.third_end() + Duration::from_secs(1);
     let later: Vec<Answer> =
@@ -166,3 +178,104 @@
     assert!(all >= MIN_SERVED, "{all:.3} served");
     assert!(later >= MIN_SERVED_LATER, "{later:.3} served once the request is known");
 }
+
+/// Guards against a request that is refused for another one: with the same path and another body,
+/// or the same body from another caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_differ_from_a_blocked_one_are_served() {
+    let deployment = Deployment::start().await;
+    deployment
+        .play(async {
+            deployment.block().await;
+            for node in &deployment.nodes {
+                assert_eq!(node.send(post("a", "/many/x", "harmless")).await.status(), 200);
+                assert_eq!(node.send(post("b", "/many/x", "")).await.status(), 200);
+                assert_eq!(node.send(request("c", "GET", "/many/x", "")).await.status(), 200);
+            }
+            let ended = deployment.group.ends().len();
+            let mut other_caller = poison("other");
+            other_caller.headers_mut().insert("authorization", HeaderValue::from_static("key"));
+            // It is sent, and ends servers as the first one did.
+            assert_ne!(deployment.nodes[0].send(other_caller).await.status(), 503);
+            assert!(deployment.group.ends().len() > ended);
+        })
+        .await;
+}
+
+/// Guards against a refusal that names no time, or an untrue one, and against callers who wait for
+/// it.
+#[tokio::test(flavor = "multi_thread")]
+async fn blocked_request_is_refused_at_once_until_its_trial() {
+    let deployment = Deployment::start().await;
+    deployment
+        .play(async {
+            deployment.block().await;
+            let start = Instant::now();
+            let response = deployment.nodes[1].send(poison("r")).await;
+            assert_eq!(response.status(), 503);
+            assert!(start.elapsed() < Duration::from_millis(250), "took {:?}", start.elapsed());
+            let after: f64 = deployed::header(&response, "retry-after").parse().expect("seconds");
+            assert!((40.0..75.0).contains(&after), "{after} s");
+        })
+        .await;
+}
+
+/// Guards against a node that starts later, or again, and sends what the others have blocked.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_starts_later_knows_what_is_blocked() {
+    let deployment = Deployment::start().await;
+    deployment
+        .play(async {
+            deployment.block().await;
+            let ended = deployment.group.ends().len();
+            let seed = deployment.nodes[0].caller_address;
+            let node = deployment.cluster.start_node_with_seeds(&[seed]);
+            node.wait_until_ready().await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            assert_eq!(node.send(poison("late")).await.status(), 503);
+            assert_eq!(deployment.group.ends().len(), ended);
+        })
+        .await;
+}
+
+/// Guards against a block that operators can't see or end.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_sees_and_ends_a_block_at_all_nodes() {
+    let deployment = Deployment::start().await;
+    deployment
+        .play(async {
+            deployment.block().await;
+            let blocked = deployment.nodes[0].operate("GET", "/blocked").await;
+            let blocked: Value = serde_json::from_slice(blocked.body()).expect("JSON");
+            assert_eq!(blocked[0]["servers"].as_array().map(Vec::len), Some(3), "{blocked}");
+            let name = blocked[0]["request"].as_str().expect("a request");
+            let path = format!("/blocked/{name}");
+            assert_eq!(deployment.nodes[0].operate("DELETE", &path).await.status(), 204);
+            for node in &deployment.nodes {
+                eventually("the block has ended", async || {
+                    node.operate("GET", "/blocked").await.body() == "[]"
+                })
+                .await;
+            }
+            assert_eq!(deployment.nodes[0].operate("DELETE", &path).await.status(), 404);
+        })
+        .await;
+}
+
+/// Guards against a popular request that is refused since it ran beside one that ends servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn popular_request_beside_one_that_ends_servers_is_served() {
+    let deployment = Deployment::start().await;
+    let answers = deployment
+        .play(async {
+            let poison = |number| poison(&format!("p{number}"));
+            let popular = |number| post(&format!("o{number}"), "/many/popular", "body");
+            let poison = deployment.send(Duration::from_millis(331), LENGTH, poison);
+            let popular = deployment.send(Duration::from_millis(12), LENGTH, popular);
+            tokio::join!(poison, popular).1
+        })
+        .await;
+    let refused = answers.iter().filter(|answer| answer.status == 503).count();
+    assert_eq!(refused, 0);
+    assert!(served(&answers) >= MIN_SERVED, "{:.3} served", served(&answers));
+}
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -143,11 +143,13 @@
         }
     }
 
-    /// Gives all services up, since the request is blocked.
+    /// Gives up all services that have not answered, since the request is blocked.
     fn block(&mut self) {
         for index in 0..self.progress.len() {
-            self.progress[index].cause = Cause::Poison;
-            self.give_up(index);
+            if self.progress[index].is_pending() {
+                self.progress[index].cause = Cause::Poison;
+                self.give_up(index);
+            }
         }
     }
 
@@ -192,10 +194,7 @@
             Standing::Blocked { .. } | Standing::TrialDue if is_in_flight => {
                 return self.hold(now, index);
             }
-            Standing::Blocked { .. } | Standing::TrialDue => {
-                self.progress[index].cause = Cause::Poison;
-                return self.give_up(index);
-            }
+            Standing::Blocked { .. } | Standing::TrialDue => return self.block(),
         }
         let progress = &self.progress[index];
         let Some(selection) =
--- a/crates/request/poison/src/ledger.rs
+++ b/crates/request/poison/src/ledger.rs
@@ -32,7 +32,7 @@
     Clear,
     /// It is sent to one server at a time.
     Suspect,
-    /// It waits: whether it is blocked is known in a moment.
+    /// It waits: whether it ends servers is known in a moment.
     Held,
     /// It is sent to no server.
     Blocked {
@@ -89,7 +89,7 @@
             return Standing::Clear;
         }
         if !record.is_condemned() {
-            return Standing::Suspect;
+            return if record.is_undecided() { Standing::Held } else { Standing::Suspect };
         }
         if record.is_settling(now) {
             return Standing::Held;
@@ -103,10 +103,30 @@
         self.records.get(&identity).map_or(0, |record| record.ends.len())
     }
 
-    /// The keys of these servers.
-    pub fn ended_servers(&self, identity: Identity) -> Vec<u32> {
-        let record = self.records.get(&identity);
-        record.map_or_else(Vec::new, |record| record.ends.iter().map(|end| end.server).collect())
+    /// The keys of these servers, and when they ended.
+    pub fn ended_servers(&self, identity: Identity) -> Vec<(u32, Time)> {
+        let ends = self.records.get(&identity).map(|record| record.ends.iter());
+        ends.into_iter().flatten().map(|end| (end.server, end.at)).collect()
+    }
+
+    /// Until when a request is blocked; time zero if it is not.
+    pub fn blocked_until(&self, identity: Identity) -> Time {
+        let record = self.records.get(&identity).filter(|record| record.is_condemned());
+        record.map_or(Time::ZERO, |record| record.trial_due(self.spread))
+    }
+
+    /// Records that this node sends a request to a server; returns whether the run counts since
+    /// the request is suspected.
+    pub fn run_begins(&mut self, identity: Identity) -> bool {
+        let record = self.records.get_mut(&identity);
+        record.map(|record| record.running += 1).is_some()
+    }
+
+    /// Records that a run has ended for which [`Self::run_begins`] returned `true`.
+    pub fn run_ends(&mut self, identity: Identity) {
+        if let Some(record) = self.records.get_mut(&identity) {
+            record.running = record.running.saturating_sub(1);
+        }
     }
 
     /// Records that a run of a request broke off at a server, which may have ended; the run began
@@ -155,11 +175,6 @@
         }
     }
 
-    /// Ends a block.
-    pub fn release(&mut self, now: Time, identity: Identity) -> Change {
-        self.answered(now, identity)
-    }
-
     /// Takes over what another node knows.
     pub fn on_notice(&mut self, now: Time, notice: &Notice) -> Change {
         self.make_room(now, notice.identity);
@@ -255,12 +270,9 @@
         order.into_iter().filter_map(notice).collect()
     }
 
-    /// The blocked requests, and when each may be tried again.
-    pub fn blocked(&self, now: Time) -> impl Iterator<Item = (Identity, Time)> {
-        let blocked = move |(identity, record): (&Identity, &Record)| {
-            let is_blocked = record.is_condemned() && !record.is_expired(now);
-            is_blocked.then(|| (*identity, record.trial_due(self.spread)))
-        };
-        self.records.iter().filter_map(blocked)
+    /// The blocked requests.
+    pub fn blocked(&self, now: Time) -> impl Iterator<Item = Identity> {
+        let is_blocked = move |record: &Record| record.is_condemned() && !record.is_expired(now);
+        self.records.iter().filter(move |(_, record)| is_blocked(record)).map(|(id, _)| *id)
     }
 }
--- a/crates/request/poison/src/record.rs
+++ b/crates/request/poison/src/record.rs
@@ -46,6 +46,8 @@
     pub(crate) refuted: Vec<u32>,
     trial_at: Option<Time>,
     pub(crate) changed_at: Time,
+    /// The number of this node's runs that began while it was suspected.
+    pub(crate) running: u32,
 }
 
 impl Record {
@@ -62,6 +64,11 @@
         self.proven().count() >= BLOCKING_ENDS
     }
 
+    /// Whether a run in progress, or a proof, will show in a moment whether it ends servers.
+    pub(crate) fn is_undecided(&self) -> bool {
+        self.running > 0 || self.ends.len() >= BLOCKING_ENDS
+    }
+
     /// Whether an answer to it may still prevent the block.
     pub(crate) fn is_settling(&self, now: Time) -> bool {
         self.ends.len() == BLOCKING_ENDS && now.since(self.last_end()) < SETTLING_TIME
