--- a/crates/fakes/examples/soak/caller.rs
+++ b/crates/fakes/examples/soak/caller.rs
@@ -12,11 +12,15 @@
 use hyper::Request;
 use hyper::Response;
 use parking_lot::Mutex;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::system::HOST;
 use crate::system::Node;
+use crate::system::POISON_MARK;
 use crate::system::System;
 use crate::system::TIMEOUT;
 use fakes::http;
@@ -24,6 +28,8 @@
 
 /// The pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(25);
+/// The pause between two requests that end servers.
+const POISON_INTERVAL: Duration = Duration::from_millis(330);
 
 /// What a request asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +42,8 @@
     Book,
     /// The route that a version added.
     Version(u64),
+    /// All shards or one server; ends each server that runs it.
+    Poison,
 }
 
 /// An answer.
@@ -104,6 +112,46 @@
         }
     }
 
+    /// Starts the caller of a request that ends servers, at any node, for `length`.
+    pub fn start_poison(
+        self: &Arc<Self>,
+        system: &Arc<System>,
+        seed: u64,
+        search: bool,
+        length: Duration,
+    ) {
+        let (calls, system) = (Arc::clone(self), Arc::clone(system));
+        tokio::spawn(async move {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let end = Instant::now() + length;
+            while Instant::now() < end {
+                sleep(POISON_INTERVAL).await;
+                let number = rng.random_range(0..system.nodes().len());
+                let (calls, system) = (Arc::clone(&calls), Arc::clone(&system));
+                tokio::spawn(async move { calls.call_poison(&system, number, search).await });
+            }
+        });
+    }
+
+    async fn call_poison(&self, system: &System, number: usize, search: bool) {
+        let node = &system.nodes()[number];
+        let id = format!("p{:x}", self.next.fetch_add(1, Ordering::Relaxed));
+        let suffix = if system.changes_poison() { id.as_str() } else { "" };
+        let route = if search { "search" } else { "view" };
+        let path = format!("/{route}/{POISON_MARK}{suffix}");
+        let lifetime = || node.lifetime.load(Ordering::Relaxed);
+        let (before, sent) = (lifetime(), Instant::now());
+        let reply = http::send(node.address, request(&id, "GET", &path));
+        let answer = match timeout(TIMEOUT * 2, reply).await {
+            Ok(Ok(response)) => Some(answer(response)),
+            _ => None,
+        };
+        let (ended, lifetimes) = (Instant::now(), (before, lifetime()));
+        let kind = Kind::Poison;
+        let call = Call { id, node: number, lifetimes, kind, sent, ended, answer };
+        self.calls.lock().push(call);
+    }
+
     /// Ends the callers; returns all requests.
     pub async fn end(&self) -> Vec<Call> {
         self.ended.store(true, Ordering::Relaxed);
@@ -140,6 +188,7 @@
                 Kind::View => ("GET", "/view/x".to_owned()),
                 Kind::Book => ("POST", "/book/x".to_owned()),
                 Kind::Version(version) => ("GET", format!("/v-{version}/x")),
+                Kind::Poison => ("GET", format!("/view/{POISON_MARK}")),
             };
             let reply = timeout(TIMEOUT * 2, opened.send(request(&id, method, &path))).await;
             let answer = match reply {
--- a/crates/fakes/examples/soak/check.rs
+++ b/crates/fakes/examples/soak/check.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+
 use crate::caller::Answer;
 use crate::caller::Call;
 use crate::caller::Kind;
@@ -33,6 +35,8 @@
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 /// The number of routes of past versions that are certainly present.
 const KEPT_ROUTES: u64 = 8;
+/// How often a request that ends servers may still reach them.
+const MAX_LATE_POISON: usize = 3;
 /// The slack for two requests that cross.
 const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
 
@@ -88,6 +92,7 @@
         self.check_departures(&mut found);
         self.check_turned_away(&mut found);
         self.check_limits(&mut found);
+        self.check_poison(&mut found);
         found
     }
 
@@ -259,6 +264,50 @@
         }
     }
 
+    /// How often a request reaches servers, through nodes in touch, later than the window after it
+    /// has ended the third one; and that no other request is blocked.
+    fn check_poison(&self, found: &mut Vec<String>) {
+        let by_id: HashMap<&str, &Call> = self
+            .calls
+            .iter()
+            .filter(|call| call.kind == Kind::Poison)
+            .map(|call| (call.id.as_str(), call))
+            .collect();
+        let mut ends: Vec<Instant> = self.instances.iter().filter_map(|i| i.ended_at()).collect();
+        ends.sort();
+        if let Some(third) = ends.get(2) {
+            let arrivals = self.instances.iter().flat_map(|instance| instance.arrivals());
+            let is_late = |arrival: &Arrival| {
+                let call = by_id.get(arrival.id.as_str());
+                arrival.at > *third + STABILITY
+                    && call.is_some_and(|call| self.in_touch(call.node, arrival.at))
+            };
+            let late = arrivals.filter(|arrival| is_late(arrival)).count();
+            if late > MAX_LATE_POISON {
+                found.push(format!(
+                    "a request reached servers {late} times later than {STABILITY:?} after it had \
+                     ended the third one; {} ended in all",
+                    ends.len()
+                ));
+            }
+        }
+        let blocked: HashSet<String> = self
+            .system
+            .logs()
+            .flat_map(|log| {
+                let lines = log.lines().filter(|line| line.contains("and is blocked"));
+                let request = |line: &str| {
+                    let entry: Value = serde_json::from_str(line).ok()?;
+                    Some(entry["request"].as_str()?.to_owned())
+                };
+                lines.filter_map(request).collect::<Vec<_>>()
+            })
+            .collect();
+        if blocked.len() > usize::from(!by_id.is_empty()) {
+            found.push(format!("other requests were blocked: {blocked:?}"));
+        }
+    }
+
     /// The fraction of the requests sent since `from` that were answered with success.
     pub fn success_since(&self, from: Instant) -> f64 {
         let late: Vec<&Call> = self.calls.iter().filter(|call| call.sent >= from).collect();
--- a/crates/fakes/examples/soak/main.rs
+++ b/crates/fakes/examples/soak/main.rs
@@ -25,6 +25,7 @@
 
 use crate::caller::Calls;
 use crate::check::Evidence;
+use crate::schedule::Fault;
 use crate::system::Plant;
 use crate::system::System;
 
@@ -118,6 +119,7 @@
         "times" => Some(Plant::UnreadableTimes),
         "limits" => Some(Plant::UnreadableLimits),
         "recovery" => Some(Plant::NoRecovery),
+        "poison" => Some(Plant::ChangingPoison),
         other => panic!("no such plant: {other}"),
     }
 }
@@ -215,6 +217,9 @@
             println!("seed {seed}: {step}");
         }
         sleep_until(start + step.at).await;
+        if let Fault::Poison { search } = step.fault {
+            calls.start_poison(system, seed, search, step.lasts);
+        }
         running.push(tokio::spawn(Arc::clone(system).disturb(step)));
         // A change often falls into the fault.
         if step.number % 2 == 0 {
--- a/crates/fakes/examples/soak/schedule.rs
+++ b/crates/fakes/examples/soak/schedule.rs
@@ -21,6 +21,11 @@
 /// Distinguishes the seed of the steps in which servers name a limit.
 const LIMIT_SEED: u64 = 0x006c_696d_6974;
 
+/// How long a request that ends servers comes.
+const POISON_TIME: Duration = Duration::from_secs(10);
+/// Distinguishes the seed of the steps with such a request.
+const POISON_SEED: u64 = 0x706f_6973_6f6e;
+
 /// What is done to the system.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -56,6 +61,9 @@
     Depart { server: usize },
     /// A server crashes and is replaced.
     Crash { server: usize },
+    /// A caller sends a request again and again that ends each server that runs it; over all
+    /// shards or to one server.
+    Poison { search: bool },
     /// The operator writes versions in quick succession.
     Versions { count: u32 },
 }
@@ -97,6 +105,12 @@
     let at = length.mul_f64(rng.random_range(0.0..0.4));
     let fault = Fault::Limit { service: rng.random_range(0..SERVICES.len()) };
     steps.push(Step { number: steps.len(), at, lasts: LIMIT_TIME, fault });
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED);
+    if rng.random_bool(0.5) {
+        let at = length.mul_f64(rng.random_range(0.0..0.6));
+        let fault = Fault::Poison { search: rng.random_bool(0.3) };
+        steps.push(Step { number: steps.len(), at, lasts: POISON_TIME, fault });
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
--- a/crates/fakes/examples/soak/system.rs
+++ b/crates/fakes/examples/soak/system.rs
@@ -26,6 +26,7 @@
 use fakes::http;
 use fakes::instance;
 use fakes::instance::Instance;
+use fakes::instance::Poison;
 use fakes::link::Link;
 use fakes::link::Mode;
 use fakes::store;
@@ -49,6 +50,11 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// How long slow servers take while a node is asked to stop.
 const SLOW: Duration = Duration::from_millis(300);
+/// The paths of requests that end servers contain this, and how long servers run them.
+pub const POISON_MARK: &str = "poison";
+const POISON_DELAY: Duration = Duration::from_millis(30);
+/// How long a server is down that a request has ended.
+const DOWN_TIME: Duration = Duration::from_secs(3);
 /// How long a leaving server goes on.
 const DEPARTURE: Duration = Duration::from_secs(6);
 /// How long the store keeps the entry of a server that has ended.
@@ -84,6 +90,8 @@
     UnreadableLimits,
     /// All servers of a service end when the faults do.
     NoRecovery,
+    /// Requests that end servers differ each time, so that nothing links them.
+    ChangingPoison,
 }
 
 /// A span; open if it has no end yet.
@@ -230,6 +238,7 @@
         }
         tokio::spawn(take_backups(Arc::clone(&system)));
         tokio::spawn(watch_pauses(Arc::clone(&system)));
+        tokio::spawn(replace_ended(Arc::clone(&system)));
         Ok(system)
     }
 
@@ -238,6 +247,16 @@
         &self.nodes
     }
 
+    /// Whether requests that end servers differ each time.
+    pub fn changes_poison(&self) -> bool {
+        self.plant == Some(Plant::ChangingPoison)
+    }
+
+    /// The nodes' logs.
+    pub fn logs(&self) -> impl Iterator<Item = String> {
+        self.nodes.iter().filter_map(|node| std::fs::read_to_string(&node.log).ok())
+    }
+
     /// The number of servers in use.
     pub fn server_count(&self) -> usize {
         self.servers.lock().len()
@@ -302,6 +321,7 @@
         if self.plant == Some(Plant::RunsAndRefuses) && number.is_multiple_of(3) {
             instance.set_behavior(instance::Behavior::RunsAndRefuses);
         }
+        instance.set_poison(Poison { mark: POISON_MARK, delay: POISON_DELAY });
         self.instances.lock().push(Arc::clone(&instance));
         let link = Arc::new(Link::start(instance.address()).await?);
         let server =
@@ -418,6 +438,8 @@
                 sleep(ENTRY_LIFETIME).await;
                 self.store.delete("servers", &old.instance.id);
             }
+            // Sent by the callers.
+            Fault::Poison { .. } => sleep(step.lasts).await,
             Fault::Versions { count } => {
                 for _ in 0..count {
                     self.write_next_version();
@@ -621,6 +643,22 @@
     }
 }
 
+/// Replaces servers that a request has ended.
+async fn replace_ended(system: Arc<System>) {
+    while !system.ended.load(Ordering::Relaxed) {
+        sleep(PAUSE_CHECK).await;
+        let is_due = |server: &Server| {
+            server.instance.ended_at().is_some_and(|at| at.elapsed() >= DOWN_TIME)
+        };
+        let due = system.servers.lock().iter().position(is_due);
+        if let Some(index) = due
+            && let Some(old) = system.replace(index).await
+        {
+            system.store.delete("servers", &old.instance.id);
+        }
+    }
+}
+
 async fn kill(node: &Node) {
     let span = open(&node.disturbed);
     signal(node, "-KILL").await;
--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -52,7 +52,7 @@
 /// Requests that end the server that runs them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Poison {
-    /// Their bodies contain this.
+    /// Their paths or bodies contain this.
     pub mark: &'static str,
     /// The time from the start of the run to the end of the server.
     pub delay: Duration,
@@ -254,7 +254,7 @@
     let body = http::read(request.into_body()).await?.to_vec();
     let poison = {
         let mut state = server.state.lock();
-        let text = String::from_utf8_lossy(&body).into_owned();
+        let text = format!("{path} {}", String::from_utf8_lossy(&body));
         state.runs.push(Run { id: id.clone(), method, path, body, deadline_ms });
         state.poison.clone().filter(|poison| text.contains(poison.mark))
     };
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -33,6 +33,9 @@
 /// The timeout of callers; long because the test machine may be overloaded.
 pub const TIMEOUT_MS: u64 = 8000;
 
+/// The port for traffic between nodes.
+pub const PEER_PORT: u16 = 18_040;
+
 /// The memory that a node may use, in MB.
 pub const MEMORY_MB: u64 = 64;
 
@@ -136,7 +139,7 @@
             "node_name": format!("node-{number}"), "ip": ip, "zone": "hall", "region": "land",
             "zones": { "hall": "land" },
             "listen": { "front": port(6), "readiness_addr": port(7), "directory": port(5) },
-            "port_range": [18_040, 18_055],
+            "port_range": [PEER_PORT, PEER_PORT + 15],
             "limits": { "cpu_share": 1.0, "memory_mb": MEMORY_MB },
             "seeds": seeds,
             "bounds": {
