entry: attempts of one request use different connections

Operators of similar systems saw a second copy of an answer arrive late on a connection that was in use again. Replies are matched by the id of the caller's request, so a copy for another request was always recognized. But attempts of one request have one id: a server refuses it, the node tries the same server again on the same connection, and a late copy of the refusal counts as the second refusal while the request runs. A request that must not run twice then ran up to three times, or was refused as not run.

--- a/crates/connection/pool/src/server.rs
+++ b/crates/connection/pool/src/server.rs
@@ -126,6 +126,14 @@
         Some((id, connection))
     }
 
+    /// Takes the most recently used idle connection that `is_usable` selects.
+    pub fn take_idle_where(&mut self, is_usable: impl Fn(&C) -> bool) -> Option<(ConnectionId, C)> {
+        let index = self.idle.iter().rposition(|(_, connection)| is_usable(connection))?;
+        let (id, connection) = self.idle.remove(index)?;
+        self.states.insert(id, State::Busy);
+        Some((id, connection))
+    }
+
     /// Takes the least recently used idle connection, so that successive health
     /// checks cover all connections.
     pub fn take_oldest_idle(&mut self) -> Option<(ConnectionId, C)> {
--- /dev/null
+++ b/crates/fakes/src/doubling.rs
@@ -0,0 +1,120 @@
+//! A server that refuses each request once, and sends a second copy of that refusal late: where
+//! the answer to the next request on the connection is due.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// How long it runs a request.
+const RUN_TIME: Duration = Duration::from_millis(50);
+
+#[derive(Default)]
+struct State {
+    refused: HashMap<String, bool>,
+    runs: HashMap<String, usize>,
+}
+
+/// A running server.
+pub struct Server {
+    id: String,
+    service: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    accepting: AbortHandle,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+impl Server {
+    /// Starts a server on a free port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be bound.
+    pub async fn start(id: &str, service: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let (shared, own_id) = (Arc::clone(&state), id.to_owned());
+        let accepting = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, own_id.clone(), Arc::clone(&shared)));
+            }
+        });
+        let accepting = accepting.abort_handle();
+        Ok(Self { id: id.to_owned(), service: service.to_owned(), address, state, accepting })
+    }
+
+    /// Its entry in the platform's store.
+    pub fn entry(&self) -> Value {
+        json!({
+            "service": self.service, "address": self.address.to_string(), "zone": "hall",
+            "version": "v1", "slots": 4, "state": "ready", "warmup_left_ms": 0,
+            "sequence": 1, "born": 1700
+        })
+    }
+
+    /// The id under which it registers.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// How often it ran a request.
+    pub fn runs(&self, id: &str) -> usize {
+        self.state.lock().runs.get(id).copied().unwrap_or(0)
+    }
+}
+
+async fn serve(mut stream: TcpStream, server: String, state: Arc<Mutex<State>>) -> io::Result<()> {
+    let mut copy: Option<String> = None;
+    loop {
+        let Some(id) = read_request(&mut stream).await? else { return Ok(()) };
+        if let Some(copy) = copy.take() {
+            stream.write_all(copy.as_bytes()).await?;
+        }
+        let is_first = state.lock().refused.insert(id.clone(), true).is_none();
+        let head = format!("heatherseam-request-id: {id}\r\ncontent-length: 0\r\n");
+        let answer = if is_first {
+            let answer = format!(
+                "HTTP/1.1 503 Service Unavailable\r\n{head}heatherseam-not-executed: 1\r\n\r\n"
+            );
+            copy = Some(answer.clone());
+            answer
+        } else {
+            *state.lock().runs.entry(id.clone()).or_insert(0) += 1;
+            tokio::time::sleep(RUN_TIME).await;
+            format!("HTTP/1.1 200 OK\r\n{head}heatherseam-server-stamp: {server}.{id}\r\n\r\n")
+        };
+        stream.write_all(answer.as_bytes()).await?;
+    }
+}
+
+/// Reads a request without a body; returns its id, or `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> io::Result<Option<String>> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).await? == 0 {
+            return Ok(None);
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("heatherseam-request-id: "));
+    Ok(Some(id.unwrap_or_default().to_owned()))
+}
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -241,7 +241,7 @@
     server: Server,
     guard: &mut AttemptGuard,
 ) -> AttemptOutcome {
-    let mut lease = match process.pool.lease(server).await {
+    let mut lease = match process.pool.lease(server, &caller_request.id).await {
         Ok(lease) => lease,
         Err(upstream::LeaseError::QueueFull) => {
             return AttemptOutcome::NotSent("too many requests wait for it");
@@ -330,6 +330,9 @@
     {
         connection.idle_deadline = upstream::idle_deadline(process.clock.now(), timeout);
     }
+    if let Some(connection) = lease.connection() {
+        connection.last_request = Some(caller_request.id.clone());
+    }
     lease.mark_reusable();
     let outcome = classify(parts, (body, held), reply_headers, guard);
     if matches!(outcome, AttemptOutcome::Refused) {
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::http::HeaderValue;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -66,6 +67,9 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// When it is too close to the server's idle timeout to be reused.
     pub(crate) idle_deadline: Time,
+    /// The id of the last request on it. A late copy of the answer to that one would be taken for
+    /// the answer to a further attempt of the same request, so these use other connections.
+    pub(crate) last_request: Option<HeaderValue>,
     /// Whether it was leased for a request.
     leased: Rc<Cell<bool>>,
     task: AbortHandle,
@@ -189,19 +193,47 @@
         }
     }
 
-    /// Leases a connection to `server`: an idle one, or the first that becomes free.
-    pub(crate) async fn lease(&self, server: Server) -> Result<Lease, LeaseError> {
+    /// Leases a connection to `server` for the request `request_id`: an idle one, or the first that
+    /// becomes free, but none whose last request was the same.
+    pub(crate) async fn lease(
+        &self,
+        server: Server,
+        request_id: &HeaderValue,
+    ) -> Result<Lease, LeaseError> {
+        loop {
+            let mut lease = self.lease_any(server, request_id).await?;
+            let last = lease.connection().and_then(|connection| connection.last_request.as_ref());
+            if last != Some(request_id) {
+                return Ok(lease);
+            }
+        }
+    }
+
+    async fn lease_any(
+        &self,
+        server: Server,
+        request_id: &HeaderValue,
+    ) -> Result<Lease, LeaseError> {
         let (guard, receiver) = {
             let upstreams = self.upstreams.borrow();
             let Some(upstream) = &upstreams[server] else { return Err(LeaseError::QueueFull) };
             let connections = Rc::clone(&upstream.connections);
-            while let Some((id, connection)) = take_newest_idle(&connections) {
+            let is_usable =
+                |connection: &Connection| connection.last_request.as_ref() != Some(request_id);
+            loop {
+                let idle = connections.borrow_mut().take_idle_where(is_usable);
+                let Some((id, connection)) = idle else { break };
                 if !connection.sender.is_closed() && self.clock.now() < connection.idle_deadline {
                     return Ok(Lease::new(connections, id, connection));
                 }
                 connection.task.abort();
                 connections.borrow_mut().remove(id);
             }
+            // Makes room for another one.
+            if let Some((id, connection)) = take_newest_idle(&connections) {
+                connection.task.abort();
+                connections.borrow_mut().remove(id);
+            }
             // Only a busy connection is worth waiting for: a new connect will most likely
             // fail as well.
             let busy = connections.borrow().count(server::State::Busy);
@@ -350,7 +382,13 @@
             return_connection(
                 &connections,
                 id,
-                Connection { sender, idle_deadline, leased, task: task.abort_handle() },
+                Connection {
+                    sender,
+                    idle_deadline,
+                    last_request: None,
+                    leased,
+                    task: task.abort_handle(),
+                },
             );
             return;
         }
