poison, entry: a suspect's run holds others for 0.3 s at most; only a new node hears of blocks again

Found on reading. While a run of a suspected request was open, all others of the same request at that node waited for it; at a silent server that is until the deadline, so that callers of a popular request would wait after a crash beside it (run_of_a_suspect_ holds_others_for_a_moment_only, red before).

--- a/crates/process/entry/src/breaks.rs
+++ b/crates/process/entry/src/breaks.rs
@@ -82,7 +82,7 @@
 /// is suspected.
 pub(crate) fn run_begins(process: &Process, request: &CallerRequest) -> bool {
     let mut ledger = process.ledger.borrow_mut();
-    !ledger.is_empty() && ledger.run_begins(request.identity())
+    !ledger.is_empty() && ledger.run_begins(process.clock.now(), request.identity())
 }
 
 /// Takes note that a server has run a request and answered it.
--- a/crates/process/entry/src/heartbeat.rs
+++ b/crates/process/entry/src/heartbeat.rs
@@ -176,7 +176,7 @@
         };
         if before == Status::Silent {
             // It may have just started.
-            process.ledger_changed.notify_one();
+            notices::send_to_one(&process, &socket, ip).await;
         }
         if before != after {
             log::info!(target: "members", node = name.as_ref(), before:? = before, now:? = after; "A node's status changed.");
--- a/crates/process/entry/src/notices.rs
+++ b/crates/process/entry/src/notices.rs
@@ -49,24 +49,38 @@
     let notices = {
         let mut ledger = process.ledger.borrow_mut();
         ledger.expire(now);
+        process.metrics.record_blocked_requests(ledger.blocked(now).count());
         if !has_changed && !ledger.is_fresh(now) && !number.is_multiple_of(STALE_INTERVALS) {
             return;
         }
         ledger.notices(now, number)
     };
-    if notices.is_empty() {
-        return;
-    }
     let Some(datagram) = encode(&notices) else { return };
     for ip in targets(process, number, has_changed) {
-        let to = SocketAddr::new(ip, process.settings.peer_port);
-        if let Err(error) = socket.send_to(&datagram, to).await {
-            log::debug!(target: "poison", "Notices to {to} were not sent: {error}.");
-        }
+        send_datagram(process, socket, &datagram, ip).await;
+    }
+}
+
+/// Tells a node that has just appeared.
+pub(crate) async fn send_to_one(process: &Process, socket: &UdpSocket, ip: IpAddr) {
+    let notices = process.ledger.borrow().notices(process.clock.now(), 0);
+    if let Some(datagram) = encode(&notices) {
+        send_datagram(process, socket, &datagram, ip).await;
     }
 }
 
+async fn send_datagram(process: &Process, socket: &UdpSocket, datagram: &[u8], ip: IpAddr) {
+    let to = SocketAddr::new(ip, process.settings.peer_port);
+    if let Err(error) = socket.send_to(datagram, to).await {
+        log::debug!(target: "poison", "Notices to {to} were not sent: {error}.");
+    }
+}
+
+/// A datagram with notices, if there are any.
 fn encode(notices: &[Notice]) -> Option<Vec<u8>> {
+    if notices.is_empty() {
+        return None;
+    }
     let mut datagram = vec![MARK];
     match rmp_serde::encode::write(&mut datagram, notices) {
         Ok(()) => Some(datagram),
--- a/crates/request/poison/src/ledger.rs
+++ b/crates/request/poison/src/ledger.rs
@@ -89,7 +89,7 @@
             return Standing::Clear;
         }
         if !record.is_condemned() {
-            return if record.is_undecided() { Standing::Held } else { Standing::Suspect };
+            return if record.is_undecided(now) { Standing::Held } else { Standing::Suspect };
         }
         if record.is_settling(now) {
             return Standing::Held;
@@ -117,15 +117,15 @@
 
     /// Records that this node sends a request to a server; returns whether the run counts since
     /// the request is suspected.
-    pub fn run_begins(&mut self, identity: Identity) -> bool {
+    pub fn run_begins(&mut self, now: Time, identity: Identity) -> bool {
         let record = self.records.get_mut(&identity);
-        record.map(|record| record.running += 1).is_some()
+        record.map(|record| record.run_begins(now)).is_some()
     }
 
     /// Records that a run has ended for which [`Self::run_begins`] returned `true`.
     pub fn run_ends(&mut self, identity: Identity) {
         if let Some(record) = self.records.get_mut(&identity) {
-            record.running = record.running.saturating_sub(1);
+            record.run_ends();
         }
     }
 
--- a/crates/request/poison/src/record.rs
+++ b/crates/request/poison/src/record.rs
@@ -18,6 +18,9 @@
 /// The trials of different nodes are due at different times within this span, so that the first
 /// one is known to the others.
 const TRIAL_SPREAD: Duration = Duration::from_secs(10);
+/// How long a run of a suspected request keeps others waiting at its node: the server may be slow
+/// or silent.
+const MAX_HOLD_TIME: Duration = Duration::from_millis(300);
 /// How long a request stays suspected after the last end.
 const SUSPECT_LIFETIME: Duration = Duration::from_secs(60);
 /// How long a blocked request is remembered after its trial was due.
@@ -47,7 +50,9 @@
     trial_at: Option<Time>,
     pub(crate) changed_at: Time,
     /// The number of this node's runs that began while it was suspected.
-    pub(crate) running: u32,
+    running: u32,
+    /// When the last of them began.
+    run_began_at: Time,
 }
 
 impl Record {
@@ -65,8 +70,18 @@
     }
 
     /// Whether a run in progress, or a proof, will show in a moment whether it ends servers.
-    pub(crate) fn is_undecided(&self) -> bool {
-        self.running > 0 || self.ends.len() >= BLOCKING_ENDS
+    pub(crate) fn is_undecided(&self, now: Time) -> bool {
+        let runs = self.running > 0 && now.since(self.run_began_at) < MAX_HOLD_TIME;
+        runs || self.ends.len() >= BLOCKING_ENDS
+    }
+
+    pub(crate) fn run_begins(&mut self, now: Time) {
+        self.running += 1;
+        self.run_began_at = now;
+    }
+
+    pub(crate) fn run_ends(&mut self) {
+        self.running = self.running.saturating_sub(1);
     }
 
     /// Whether an answer to it may still prevent the block.
--- a/crates/request/poison/tests/fleet_model.rs
+++ b/crates/request/poison/tests/fleet_model.rs
@@ -282,7 +282,7 @@
         }
         let server = up[self.rng.random_range(0..up.len())];
         let known = self.ledgers[node].ends(identity);
-        let counts = self.ledgers[node].run_begins(identity);
+        let counts = self.ledgers[node].run_begins(Time(now), identity);
         let run = self.runs.len();
         self.runs.push(Some(Run { kind, identity, node, known, counts, attempts: attempts + 1 }));
         self.by_server[server].push(run);
--- a/crates/request/poison/tests/verdicts.rs
+++ b/crates/request/poison/tests/verdicts.rs
@@ -249,3 +249,18 @@
     assert_eq!(ledger.standing(late, poison), Standing::Clear);
     assert!(ledger.is_empty());
 }
+
+/// Guards against callers of a popular request who wait for one that runs at a silent server.
+#[test]
+fn run_of_a_suspect_holds_others_for_a_moment_only() {
+    let mut ledger = Ledger::new(0.0);
+    let popular = request(0);
+    end(&mut ledger, 0, popular, 1);
+    assert!(ledger.run_begins(at(100), popular));
+    assert_eq!(ledger.standing(at(200), popular), Standing::Held);
+    assert_eq!(ledger.standing(at(500), popular), Standing::Suspect);
+    ledger.run_ends(popular);
+    assert!(ledger.run_begins(at(600), popular));
+    ledger.run_ends(popular);
+    assert_eq!(ledger.standing(at(601), popular), Standing::Suspect);
+}
