entry: silent servers are found by one timer, not by one for each attempt

Runs without a reply are now kept in slots, and one task wakes when the oldest of them is 0.3 s old. The task of the notices no longer wakes 2.5 times a second while no request is suspected.

--- a/crates/process/entry/src/breaks.rs
+++ b/crates/process/entry/src/breaks.rs
@@ -128,20 +128,6 @@
     spawn_local(check(Rc::clone(process), server, sign));
 }
 
-/// Takes note that a run which began at `sent` has no reply for [`MIN_SILENCE`].
-pub(crate) fn on_silence(
-    process: &Rc<Process>,
-    request: &CallerRequest,
-    server: Server,
-    known_ends: usize,
-    sent: Time,
-) {
-    let is_silent = process.table.borrow().record(server).heard_at <= sent;
-    if is_silent && !request.answered.get() {
-        on_break(process, request, server, known_ends, Sign::Silent);
-    }
-}
-
 async fn check(process: Rc<Process>, server: Server, sign: Sign) {
     sleep(CLOSING_TIME).await;
     let has_ended = process.pool.has_ended(server, sign).await && process.has_path();
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -22,10 +22,10 @@
 use hyper::http::HeaderName;
 use hyper::http::HeaderValue;
 use hyper::http::response::Parts;
-use tokio::time::timeout;
 
 use crate::breaks;
 use crate::breaks::Sign;
+use crate::in_flight::Run;
 use crate::limits;
 use crate::process::Process;
 use crate::protocol::ReplyHeaders;
@@ -143,9 +143,17 @@
     counted: Option<Identity>,
     /// The number of servers that were known to have ended under the request when it was sent.
     known_ends: usize,
+    /// Its slot among the runs without a reply.
+    slot: Option<usize>,
 }
 
 impl AttemptGuard {
+    fn leave_slot(&mut self) {
+        if let Some(slot) = self.slot.take() {
+            self.process.in_flight.remove(slot);
+        }
+    }
+
     fn report(&mut self, observation: Observation) -> Option<Duration> {
         self.reported = true;
         let now = self.process.clock.now();
@@ -159,6 +167,7 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        self.leave_slot();
         if let Some(identity) = self.counted {
             self.process.ledger.borrow_mut().run_ends(identity);
         }
@@ -216,6 +225,7 @@
         is_suspect,
         counted: breaks::run_begins(&process, &caller_request).then(|| caller_request.identity()),
         known_ends: 0,
+        slot: None,
     };
     async move {
         let outcome = send(&process, &caller_request, server, &mut guard).await;
@@ -239,7 +249,7 @@
 
 async fn send(
     process: &Rc<Process>,
-    caller_request: &CallerRequest,
+    caller_request: &Rc<CallerRequest>,
     server: Server,
     guard: &mut AttemptGuard,
 ) -> AttemptOutcome {
@@ -288,9 +298,17 @@
         process.metrics.record_limited_send(guard.extra);
     }
     caller_request.possible_runs.set(caller_request.possible_runs.get() + 1);
-    let reply = connection.sender.try_send_request(request);
-    let on_silence = || breaks::on_silence(process, caller_request, server, guard.known_ends, now);
-    let response = match after(breaks::MIN_SILENCE, on_silence, reply).await {
+    let run = Run {
+        request: Rc::clone(caller_request),
+        server,
+        sent: now,
+        known_ends: guard.known_ends,
+        is_checked: false,
+    };
+    guard.slot = Some(process.in_flight.add(run));
+    let result = connection.sender.try_send_request(request).await;
+    guard.leave_slot();
+    let response = match result {
         Ok(response) => response,
         Err(mut error) => {
             process.table.borrow_mut().unheard(process.clock.now(), server);
@@ -345,18 +363,6 @@
     outcome
 }
 
-/// Awaits `future`; calls `act` if it takes longer than `time`.
-async fn after<T>(time: Duration, act: impl FnOnce(), future: impl Future<Output = T>) -> T {
-    let mut future = std::pin::pin!(future);
-    match timeout(time, future.as_mut()).await {
-        Ok(value) => value,
-        Err(_) => {
-            act();
-            future.await
-        }
-    }
-}
-
 /// Stops the use of the server that has replied that it leaves. A misdirected request was
 /// answered by another server than the one it was sent to.
 fn on_leaving(process: &Process, server: Server, headers: &ReplyHeaders) {
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod forward;
 mod front;
 mod heartbeat;
+mod in_flight;
 mod limits;
 mod listener;
 mod lookup;
--- a/crates/process/entry/src/notices.rs
+++ b/crates/process/entry/src/notices.rs
@@ -22,6 +22,9 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// The delay after which a message about a change is repeated, in case it was lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(50);
+/// The interval between checks while no request is suspected: shorter than the time for which a
+/// change that another node reports is repeated.
+const IDLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Notices without recent changes are repeated once in so many heartbeats.
 const STALE_INTERVALS: u64 = 10;
 
@@ -29,7 +32,12 @@
 pub(crate) async fn send(process: Rc<Process>, socket: Rc<UdpSocket>) {
     let mut repeats = false;
     for number in 0.. {
-        let wait = if repeats { REPEAT_DELAY } else { HEARTBEAT_INTERVAL };
+        let is_empty = process.ledger.borrow().is_empty();
+        let wait = match (repeats, is_empty) {
+            (true, _) => REPEAT_DELAY,
+            (false, false) => HEARTBEAT_INTERVAL,
+            (false, true) => IDLE_INTERVAL,
+        };
         let is_change = tokio::select! {
             () = process.ledger_changed.notified() => true,
             () = sleep(wait) => false,
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -19,6 +19,7 @@
 use crate::era::Notice;
 use crate::feed::Feed;
 use crate::forward;
+use crate::in_flight::InFlight;
 use crate::members::Members;
 use crate::members::WHOLE_REACH;
 use crate::members::has_path;
@@ -63,6 +64,8 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) route_stats: RefCell<StatsByRoute>,
     pub(crate) pool: Pool,
+    /// The runs that have no reply yet.
+    pub(crate) in_flight: InFlight,
     /// The requests that may end servers.
     pub(crate) ledger: RefCell<Ledger>,
     /// Notified when other nodes must hear of a change of it.
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -26,6 +26,8 @@
 use crate::forward;
 use crate::front;
 use crate::heartbeat;
+use crate::in_flight;
+use crate::in_flight::InFlight;
 use crate::listener;
 use crate::lookup;
 use crate::members::Members;
@@ -128,6 +130,7 @@
     spawn_local(watcher::start(Rc::clone(&process)));
     spawn_local(watcher::expire_servers(Rc::clone(&process)));
     spawn_local(path::watch(Rc::clone(&process)));
+    spawn_local(in_flight::watch(Rc::clone(&process)));
     spawn_local(listener::accept(Rc::clone(&process), peers, relay::handle));
     spawn_local(relay::follow(Rc::clone(&process)));
     spawn_local(heartbeat::send(Rc::clone(&process), Rc::clone(&socket)));
@@ -199,6 +202,7 @@
         budget: RefCell::new(budget),
         route_stats: RefCell::new(StatsByRoute::default()),
         pool: Pool::new(clock),
+        in_flight: InFlight::default(),
         ledger: RefCell::new(Ledger::new(rng.random())),
         ledger_changed: Notify::new(),
         breaks: RefCell::default(),
