--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -60,8 +60,9 @@
     /// The number of its attempts that may have run: they left this node, and no server has
     /// certified that it did not run them.
     pub(crate) possible_runs: Cell<u32>,
-    /// Whether a server has answered one of its attempts, or an attempt has broken off.
+    /// Whether a server has run one of its attempts and answered it.
     pub(crate) answered: Cell<bool>,
+    /// Whether one of its attempts has broken off, or got no reply for long.
     pub(crate) broke_off: Cell<bool>,
     /// Whether it is the trial of a blocked request, and has not been sent yet.
     pub(crate) is_trial: Cell<bool>,
