--- a/crates/fakes/src/doubling.rs
+++ b/crates/fakes/src/doubling.rs
@@ -1,5 +1,5 @@
 //! A server that refuses each request once, and sends a second copy of that refusal late: where
-//! the answer to the next request on the connection is due.
+//! the answer to the next request on the connection is due. The refusals may name no request.
 
 use std::collections::HashMap;
 use std::io;
@@ -46,14 +46,14 @@
     /// # Errors
     ///
     /// If no port can be bound.
-    pub async fn start(id: &str, service: &str) -> io::Result<Self> {
+    pub async fn start(id: &str, service: &str, refusals_have_ids: bool) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let (shared, own_id) = (Arc::clone(&state), id.to_owned());
         let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, own_id.clone(), Arc::clone(&shared)));
+                tokio::spawn(serve(stream, own_id.clone(), refusals_have_ids, Arc::clone(&shared)));
             }
         });
         let accepting = accepting.abort_handle();
@@ -80,7 +80,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, server: String, state: Arc<Mutex<State>>) -> io::Result<()> {
+async fn serve(
+    mut stream: TcpStream,
+    server: String,
+    refusals_have_ids: bool,
+    state: Arc<Mutex<State>>,
+) -> io::Result<()> {
     let mut copy: Option<String> = None;
     loop {
         let Some(id) = read_request(&mut stream).await? else { return Ok(()) };
@@ -90,6 +95,7 @@
         let is_first = state.lock().refused.insert(id.clone(), true).is_none();
         let head = format!("heatherseam-request-id: {id}\r\ncontent-length: 0\r\n");
         let answer = if is_first {
+            let head = if refusals_have_ids { &head } else { "content-length: 0\r\n" };
             let answer = format!(
                 "HTTP/1.1 503 Service Unavailable\r\n{head}heatherseam-not-executed: 1\r\n\r\n"
             );
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -272,6 +272,7 @@
         process.table.borrow_mut().unheard(process.clock.now(), server);
         return AttemptOutcome::NotSent("the connection closed");
     }
+    let is_reused = connection.last_request.is_some();
     let now = process.clock.now();
     // Checked just before sending: while the attempt waited for a connection, the server
     // may have started to drain, disappeared or been replaced.
@@ -357,7 +358,11 @@
         connection.last_request = Some(caller_request.id.clone());
     }
     lease.mark_reusable();
-    let outcome = classify(parts, (body, held), reply_headers, guard);
+    let outcome = if reply_headers.not_run && reply_headers.request_id.is_none() && is_reused {
+        AttemptOutcome::Unknown("the refusal may belong to an earlier request")
+    } else {
+        classify(parts, (body, held), reply_headers, guard)
+    };
     if matches!(outcome, AttemptOutcome::Refused) {
         caller_request.certify_not_run();
     }
--- a/crates/process/node/tests/doubled_answers.rs
+++ b/crates/process/node/tests/doubled_answers.rs
@@ -1,5 +1,8 @@
 //! Servers that send a second copy of an answer, late, on a connection that is in use again.
 
+use std::time::Duration;
+
+use futures::future::join_all;
 use serde_json::json;
 
 use crate::deployed::Cluster;
@@ -9,15 +12,15 @@
 
 mod deployed;
 
-/// Guards against the second copy of a refusal that is taken for the answer to the next attempt of
-/// the same request, which runs meanwhile: it would run twice, or be refused as not run.
-#[tokio::test(flavor = "multi_thread")]
-async fn copy_of_a_refusal_does_not_answer_the_next_attempt() {
+/// Sends requests that must not run twice to servers that double their refusals.
+async fn send_to_doubling_servers(refusals_have_ids: bool) {
     let cluster = Cluster::start();
     cluster.publish();
     let mut servers = Vec::new();
     for number in 0..2 {
-        let server = Server::start(&format!("twice-{number}"), "twice").await.expect("a server");
+        let server = Server::start(&format!("twice-{number}"), "twice", refusals_have_ids)
+            .await
+            .expect("a server");
         cluster.store.put("servers", server.id(), &server.entry());
         servers.push(server);
     }
@@ -32,12 +35,36 @@
     cluster.store.put("config", "main", &config);
     let node = cluster.start_node();
     node.wait_until_ready().await;
-    for number in 0..20 {
-        let id = format!("t{number}");
-        let status = node.send(request(&id, "GET", "/twice/x", "")).await.status().as_u16();
-        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-        let runs: usize = servers.iter().map(|server| server.runs(&id)).sum();
-        assert!(runs <= 1, "{id} ran {runs} times and was answered {status}");
-        assert!(status != 503 || runs == 0, "{id} ran and was answered 503");
+    for round in 0..10 {
+        // Requests overlap, so that one gets the connection on which another one was refused.
+        let send = |number: u64| {
+            let (id, node) = (format!("t{round}-{number}"), &node);
+            async move {
+                tokio::time::sleep(Duration::from_millis(number * 7)).await;
+                let request = request(&id, "GET", "/twice/x", "");
+                (id, node.send(request).await.status().as_u16())
+            }
+        };
+        let answers = join_all((0..6).map(send)).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for (id, status) in answers {
+            let runs: usize = servers.iter().map(|server| server.runs(&id)).sum();
+            assert!(runs <= 1, "{id} ran {runs} times and was answered {status}");
+            assert!(status != 503 || runs == 0, "{id} ran and was answered 503");
+        }
     }
 }
+
+/// Guards against the second copy of a refusal that is taken for the answer to the next attempt of
+/// the same request, which runs meanwhile: it would run twice, or be refused as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_of_a_refusal_does_not_answer_the_next_attempt() {
+    send_to_doubling_servers(true).await;
+}
+
+/// Guards against the second copy of a refusal that names no request and is taken for the answer to
+/// the next caller's request, which runs meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_of_a_refusal_without_an_id_does_not_answer_the_next_caller() {
+    send_to_doubling_servers(false).await;
+}
