--- a/crates/fakes/examples/soak/system.rs
+++ b/crates/fakes/examples/soak/system.rs
@@ -402,7 +402,8 @@
                 let Some(instance) = self.instance(server) else { return };
                 instance.set_behavior(behavior);
                 sleep(step.lasts).await;
-                instance.set_behavior(instance::Behavior::Healthy);
+                // It may have begun to leave.
+                instance.replace_behavior(behavior, instance::Behavior::Healthy);
             }
             Fault::TurnAway { service } => {
                 let is_unreadable = self.plant == Some(Plant::UnreadableTimes);
--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -190,6 +190,14 @@
         self.stop.cancel();
     }
 
+    /// Changes how it handles requests, unless that was changed from `expected` meanwhile.
+    pub fn replace_behavior(&self, expected: Behavior, behavior: Behavior) {
+        let mut state = self.state.lock();
+        if state.behavior == expected {
+            state.behavior = behavior;
+        }
+    }
+
     /// Sets which requests end it.
     pub fn set_poison(&self, poison: Poison) {
         self.state.lock().poison = Some(poison);
