--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -20,7 +20,6 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::http::HeaderValue;
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -177,8 +176,8 @@
         upstreams[server].as_ref().is_some_and(|upstream| idle(upstream) > 0)
     }
 
-    /// Whether a server has ended: it accepts no connection or closes it at once, and none to it is
-    /// open unless it is silent.
+    /// Whether a server has ended: it accepts no connection, and none to it is open unless it is
+    /// silent.
     pub(crate) async fn has_ended(&self, server: Server, sign: Sign) -> bool {
         let address = {
             let upstreams = self.upstreams.borrow();
@@ -192,12 +191,7 @@
             upstream.address
         };
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            // A proxy in front of a server that has ended accepts connections and closes them.
-            Ok(Ok(mut stream)) => {
-                let mut byte = [0];
-                let closed = timeout(MIN_CONNECTION_AGE, stream.read(&mut byte)).await;
-                matches!(closed, Ok(Ok(0) | Err(_)))
-            }
+            Ok(Ok(_)) => false,
             Ok(Err(error)) => REFUSALS.contains(&error.kind()),
             Err(_) => true,
         }
