share, customer, base: crates for the division of rates, customers' keys and sets of regions

The division of a server's limit lay in entry and replica; cold servers and customers' quotas need the same one, so it moves to a crate of its own, unchanged. The configuration and the settings gain allowed regions, customers, and the bounds of cold servers, evacuations and quotas; nothing uses them yet.

--- a/crates/process/entry/src/heartbeat.rs
+++ b/crates/process/entry/src/heartbeat.rs
@@ -15,16 +15,16 @@
 use crate::pace;
 use crate::pace::Pace;
 use crate::process::Process;
-use crate::quota;
 use crate::serving::Own;
 use crate::watcher;
 use base::time::Time;
+use share::part;
 
 /// The maximum size of a heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 1400;
 
 /// Sends to servers that name a limit are logged once in so many intervals: once in
-/// [`replica::limit::REPORT_SPAN`].
+/// [`share::limit::REPORT_SPAN`].
 const LIMIT_REPORT_INTERVALS: u64 = 10;
 
 /// The weight of the last interval in the rate of sends.
@@ -123,8 +123,8 @@
             known: members.known_to_send(number),
             departures: process.departures.borrow_mut().to_send(process.clock.now(), number),
             reach: process.reach.get(),
-            has_all_limits: limits.len() <= quota::MAX_REPORTS,
-            limits: limits.into_iter().take(quota::MAX_REPORTS).collect(),
+            has_all_limits: limits.len() <= part::MAX_REPORTS,
+            limits: limits.into_iter().take(part::MAX_REPORTS).collect(),
         };
         (heartbeat, members.targets(process.clock.now(), number, serving, leaving))
     };
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod pace;
 pub mod placement;
 pub mod protocol;
-pub mod quota;
 pub mod registry;
 pub mod reply_memory;
 pub mod revision;
--- a/crates/process/entry/src/limits.rs
+++ b/crates/process/entry/src/limits.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use crate::process::Process;
-use crate::quota;
-use crate::quota::Claim;
-use crate::quota::Report;
 use base::entity::Server;
 use base::time::Time;
-use replica::limit;
 use replica::limit::Change;
-use replica::limit::Limit;
-use replica::limit::Quota;
 use replica::limit::Stated;
 use replica::record::Record;
+use share::limit;
+use share::limit::Limit;
+use share::limit::Quota;
+use share::part;
+use share::part::Claim;
+use share::part::Report;
 
 /// Takes note of what the reply to a request that was sent at `sent` says about a limit.
 pub(crate) fn on_reply(process: &Process, server: Server, sent: Time, stated: Stated) {
@@ -63,7 +63,7 @@
     let own = members.own();
     let quota = |server: u32, record: &Record, limit: &Limit| -> Quota {
         if !shares.serving {
-            return quota::standby(limit.per_second, shares.standby_nodes);
+            return part::standby(limit.per_second, shares.standby_nodes);
         }
         let claim = Claim {
             ip: own.ip,
@@ -72,7 +72,7 @@
             demand: Some(limit.demand()),
         };
         let others = members.claims(now, server, &record.data_centre);
-        quota::serving(limit.per_second, server, claim, &others, shares.standby_nodes)
+        part::serving(limit.per_second, server, claim, &others, shares.standby_nodes)
     };
     process.table.borrow_mut().divide_limits(now, quota);
 }
@@ -90,7 +90,7 @@
         age_ms: limit.age(now).as_millis().try_into().unwrap_or(u32::MAX),
     };
     let mut reports: Vec<Report> = table.limited().map(report).collect();
-    if reports.len() > quota::MAX_REPORTS {
+    if reports.len() > part::MAX_REPORTS {
         reports.sort_by_key(|report| report.server);
         let middle = (start * reports.len() as f64) as usize % reports.len();
         reports.rotate_left(middle);
--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -21,12 +21,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::quota::Claim;
-use crate::quota::Report;
-use crate::quota::Reports;
 use base::time::Time;
 use replica::record::Distance;
 use replica::table::Locality;
+use share::part::Claim;
+use share::part::Report;
+use share::part::Reports;
 use site::register::Incarnation;
 
 /// An entry node, whether it runs or not.
--- a/crates/process/entry/src/settings.rs
+++ b/crates/process/entry/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::source::Timing;
 use replica::budget;
+use share::bound::Bound;
 use site::fleet;
 
 /// The settings of an entry node.
@@ -45,8 +46,17 @@
     pub registry_address: SocketAddr,
     /// The budget of retries and hedges.
     pub retry_budget: budget::Settings,
+    /// The time within which a version of the configuration must be in force.
+    pub apply_bound: Duration,
     /// How long the calls for the registry's state wait.
     pub timing: Timing,
+    /// The time within which the evacuation of a data centre must be in force; `None` if the
+    /// deployment has no evacuations.
+    pub evacuation_bound: Option<Duration>,
+    /// What cold servers may get; `None` if the deployment has no bound.
+    pub warmup: Option<Bound>,
+    /// What customers may send beyond their allowances; `None` if the deployment has none.
+    pub allowance: Option<Bound>,
     /// The delays after which missing servers are removed and returned ones are trusted.
     pub fleet: fleet::Settings,
     /// The maximum time that callers may cache the answer to a lookup.
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -363,7 +363,8 @@
             let service_id = table.intern_service(&service.name);
             table.set_connection_limit(service_id, service.connections);
         }
-        Router::new(config, |name| table.intern_service(name))
+        let regions = table.regions().clone();
+        Router::new(config, &regions, |name| table.intern_service(name))
     };
     log::info!(target: "config", version = config.version, before = current, routes = config.routes.len(); "A new version of the configuration is in use.");
     process.metrics.record_config_version(config.version);
--- a/crates/process/entry/tests/heartbeats.rs
+++ b/crates/process/entry/tests/heartbeats.rs
@@ -14,8 +14,8 @@
 use entry::members::Members;
 use entry::members::Peer;
 use entry::members::Status;
-use entry::quota::MAX_REPORTS;
-use entry::quota::Report;
+use share::part::MAX_REPORTS;
+use share::part::Report;
 use site::register::Incarnation;
 
 mod support;
--- a/crates/process/entry/tests/limit_division.rs
+++ b/crates/process/entry/tests/limit_division.rs
@@ -22,14 +22,14 @@
 use entry::members::Heartbeat;
 use entry::members::Members;
 use entry::members::Peer;
-use entry::quota;
-use entry::quota::Claim;
-use entry::quota::Report;
-use replica::limit::Limit;
 use replica::limit::Stated;
 use replica::record::Record;
 use replica::table::Observation;
 use replica::table::Table;
+use share::limit::Limit;
+use share::part;
+use share::part::Claim;
+use share::part::Report;
 use site::fleet::Change;
 use site::register::Entry;
 use site::register::Incarnation;
@@ -168,7 +168,7 @@
                 demand: Some(limit.demand()),
             };
             let others = members.claims(now, server, &record.data_centre);
-            quota::serving(limit.per_second, server, claim, &others, 0)
+            part::serving(limit.per_second, server, claim, &others, 0)
         };
         self.table.divide_limits(now, quota);
     }
--- a/crates/process/entry/src/quota.rs
+++ b/crates/process/share/src/part.rs
@@ -16,13 +16,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::limit::Quota;
 use base::time::Time;
-use replica::limit::Quota;
 
 /// What a node reports of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// The server, as [`replica::table::Table::key`] names it.
+    /// The server, as `replica::table::Table::key` names it.
     pub server: u32,
     /// The requests per second that it takes from all nodes together.
     pub per_second: f32,
--- /dev/null
+++ b/crates/version/customer/src/lib.rs
@@ -0,0 +1,6 @@
+//! The customers of a configuration: their keys, and what they may use. No I/O.
+
+#![deny(missing_docs)]
+
+pub mod config;
+pub mod key;
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::limit::Limit;
 use base::entity::Service;
 use base::time::Time;
+use share::limit::Limit;
 use site::register::Incarnation;
 
 /// How far a server is from this node, by data centre and region.
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -23,8 +23,6 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::limit;
-use crate::limit::Limit;
-use crate::limit::Quota;
 use crate::limit::Stated;
 use crate::reach;
 use crate::reach::Reach;
@@ -35,7 +33,10 @@
 use base::entity::Server;
 use base::entity::Service;
 use base::hash;
+use base::region;
 use base::time::Time;
+use share::limit::Limit;
+use share::limit::Quota;
 use site::fleet::Change;
 use site::register::Entry;
 use site::register::Incarnation;
@@ -148,6 +149,7 @@
 /// This node's view of the servers.
 pub struct Table {
     locality: Locality,
+    regions: region::Index,
     servers: PrimaryMap<Server, Record>,
     by_incarnation: HashMap<Incarnation, Server>,
     services_by_name: HashMap<Arc<str>, Service>,
@@ -164,6 +166,7 @@
     /// A table without servers.
     pub fn new(locality: Locality, seed: u64) -> Self {
         Self {
+            regions: region::Index::new(locality.regions.values()),
             locality,
             servers: PrimaryMap::new(),
             by_incarnation: HashMap::new(),
@@ -177,6 +180,11 @@
         }
     }
 
+    /// The regions of the deployment.
+    pub fn regions(&self) -> &region::Index {
+        &self.regions
+    }
+
     /// The index of the service `name`, which is added if it is new.
     pub fn intern_service(&mut self, name: &Arc<str>) -> Service {
         if let Some(service) = self.services_by_name.get(name) {
@@ -441,7 +449,7 @@
         }
         let was_unreadable =
             std::mem::replace(&mut record.names_unreadable, stated == Stated::Unreadable);
-        match Limit::apply(&mut record.limit, now, sent, stated) {
+        match limit::apply(&mut record.limit, now, sent, stated) {
             limit::Change::Unreadable if was_unreadable => limit::Change::Same,
             change => change,
         }
--- a/crates/version/site/src/config.rs
+++ b/crates/version/site/src/config.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use customer::config::Customers;
+
 /// One version of the configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Config {
@@ -19,6 +21,9 @@
     pub services: Vec<Service>,
     /// Limits on what a caller may send.
     pub limits: Limits,
+    /// The customers, one of which each request must name; `None` if requests name none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customers: Option<Customers>,
 }
 
 /// Which requests go to which services, and how they are sent.
@@ -43,6 +48,12 @@
     /// The maximum number of servers of one service that may run a request; attempts
     /// that were certainly not run don't count.
     pub attempts: u32,
+    /// The regions in which its requests may be served; empty if they may be in any.
+    #[serde(default)]
+    pub homes: Vec<Arc<str>>,
+    /// Whether a request needs no key.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// The services that answer the requests of a route.
@@ -85,6 +96,12 @@
     pub name: Arc<str>,
     /// How many connections each of its servers accepts from all nodes together.
     pub connections: u32,
+    /// How long a server that has started is cold.
+    #[serde(default)]
+    pub warmup: Duration,
+    /// The requests per second that a cold server bears; zero if there is no bound.
+    #[serde(default)]
+    pub warmup_per_second: f64,
 }
 
 /// Limits on what a caller may send.
--- a/crates/version/site/src/router.rs
+++ b/crates/version/site/src/router.rs
@@ -11,6 +11,7 @@
 use crate::config::Limits;
 use crate::config::Target;
 use base::entity::Service;
+use base::region;
 
 /// A route with its services resolved.
 #[derive(Clone, Debug)]
@@ -32,6 +33,10 @@
     /// The maximum number of servers of one service that may run a request; attempts
     /// that were certainly not run don't count.
     pub max_attempts: u32,
+    /// The regions in which its requests may be served.
+    pub homes: region::Set,
+    /// Whether a request needs no key.
+    pub public: bool,
 }
 
 /// The services that answer a request.
@@ -63,8 +68,13 @@
 }
 
 impl Router {
-    /// Compiles `config`; `resolve` returns the index of each service.
-    pub fn new(config: &Config, mut resolve: impl FnMut(&Arc<str>) -> Service) -> Self {
+    /// Compiles `config`; `resolve` returns the index of each service, and `regions` has those of
+    /// the deployment.
+    pub fn new(
+        config: &Config,
+        regions: &region::Index,
+        mut resolve: impl FnMut(&Arc<str>) -> Service,
+    ) -> Self {
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         let highest = highest_priorities(config);
         for route in &config.routes {
@@ -80,6 +90,8 @@
                 priority: route.priority,
                 is_most_urgent,
                 max_attempts: route.attempts.max(1),
+                homes: regions.homes(&route.homes),
+                public: route.public,
             });
             let host = hosts.entry(Arc::clone(&route.host)).or_default();
             host.insert(Arc::clone(&route.prefix), resolved);
--- a/crates/version/site/tests/route_match.rs
+++ b/crates/version/site/tests/route_match.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::entity::Service;
+use base::region;
 use site::config::Config;
 use site::config::Limits;
 use site::config::Route;
@@ -24,6 +25,8 @@
         objective: Duration::from_millis(100),
         priority: 1,
         attempts: 2,
+        homes: Vec::new(),
+        public: false,
     }
 }
 
@@ -32,9 +35,15 @@
 }
 
 fn router(routes: Vec<Route>) -> Router {
-    let config = Config { version: 1, routes, services: Vec::new(), limits: Limits::default() };
+    let config = Config {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        limits: Limits::default(),
+        customers: None,
+    };
     let mut names: Vec<Arc<str>> = Vec::new();
-    Router::new(&config, |name| {
+    Router::new(&config, &region::Index::default(), |name| {
         let known = names.iter().position(|other| other == name);
         let index = known.unwrap_or_else(|| {
             names.push(Arc::clone(name));
