customer: fairness between customers when the servers are too busy

A customer within its quota may still send far more than usual, and then costs all others their share of the servers. Refusals for lack of capacity now lower a cut through the ratios of demand to quota, down to the median. Not called yet.

--- a/crates/version/customer/src/lib.rs
+++ b/crates/version/customer/src/lib.rs
@@ -3,4 +3,5 @@
 #![deny(missing_docs)]
 
 pub mod config;
+pub mod fair;
 pub mod key;
