replica, gather, entry: a request keeps to the regions that its route allows

Cause: a route's allowed regions were read, and nothing obeyed them. Change: the choice among servers, and what answers when a service accepts again, consider only servers in the request's homes; exchange::send checks once more; a request is passed on only to nodes there; lookups for a host with homes name nodes there or in the caller's region.

--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -57,6 +57,7 @@
             let choice = Choice {
                 leaves_reserve: caller_request.leaves_reserve,
                 spreads: caller_request.broke_off.get(),
+                homes: caller_request.homes,
             };
             let standing = breaks::standing(process, &caller_request);
             let mut balancer =
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::watcher;
 use base::entity::Attempt;
 use base::entity::Server;
+use base::region;
 use base::time::Time;
 use poison::identity::Identity;
 use poison::identity::Parts as IdentityParts;
@@ -55,6 +56,8 @@
     pub(crate) caller_deadline: Time,
     /// Whether it leaves a part of what limited servers take to more urgent requests.
     pub(crate) leaves_reserve: bool,
+    /// The regions in which it may be served.
+    pub(crate) homes: region::Set,
     /// Whether it may be passed on to another node.
     pub(crate) may_be_passed_on: bool,
     /// The number of its attempts that may have run: they left this node, and no server has
@@ -279,6 +282,10 @@
     if !process.table.borrow().may_send(now, server) {
         return AttemptOutcome::NotSent("it is leaving, or wants no requests");
     }
+    // Its entry may have been corrected meanwhile, so that it names another region.
+    if !process.table.borrow().is_allowed(server, caller_request.homes) {
+        return AttemptOutcome::NotSent("its region is not allowed");
+    }
     let left = caller_request.caller_deadline.since(now);
     if left.is_zero() {
         return AttemptOutcome::NotSent("the time is up");
--- a/crates/process/entry/src/forward.rs
+++ b/crates/process/entry/src/forward.rs
@@ -1,7 +1,7 @@
 //! Passes callers' requests on to other nodes while this node has lost its path to the servers.
 //!
 //! Invariants: a request is passed on only if no attempt of this node has left, and to one node
-//! that gets it. The other node answers it by a configuration that is not older than this node's,
+//! that gets it; the node is in the regions in which the request may be served. It answers it by a configuration that is not older than this node's,
 //! and does not pass it on again.
 
 use std::cell::RefCell;
@@ -30,6 +30,7 @@
 use crate::serve;
 use crate::serve::Answer;
 use crate::upstream;
+use base::region;
 
 /// Marks a request that a node passes on; its value is the version of that node's configuration.
 const FORWARDED: HeaderName = HeaderName::from_static("entry-forwarded");
@@ -120,7 +121,7 @@
     caller_request: &CallerRequest,
     version: u64,
 ) -> Option<Answer> {
-    for ip in nodes(process) {
+    for ip in nodes(process, caller_request.homes) {
         match send(process, ip, caller_request, version).await {
             Passed::Answered(answer) => {
                 process.metrics.record_forward("answered");
@@ -138,8 +139,8 @@
     None
 }
 
-/// The nodes to try: the nearest ones with a path, in random order.
-fn nodes(process: &Process) -> Vec<IpAddr> {
+/// The nodes to try: the nearest ones with a path in `homes`, in random order.
+fn nodes(process: &Process, homes: region::Set) -> Vec<IpAddr> {
     let now = process.clock.now();
     let members = process.members.borrow();
     let mut table = process.table.borrow_mut();
@@ -149,6 +150,9 @@
         .map(|member| &member.heartbeat)
         .filter(|node| has_path(node.reach, best) && node.reach > process.reach.get())
         .filter(|node| !node.is_slow())
+        .filter(|node| homes.allows(table.region_of(&node.data_centre)))
+        .collect::<Vec<_>>()
+        .into_iter()
         .map(|node| {
             let order = (table.random_fraction() * f64::from(u32::MAX)) as u32;
             (members.distance(&node.data_centre), order, node.caller_address.ip())
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod departures;
 pub mod era;
 pub mod feed;
+pub mod homes;
 pub mod members;
 pub mod pace;
 pub mod placement;
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -20,6 +20,7 @@
 use crate::protocol::Lookup;
 use crate::serve;
 use crate::serve::Answer;
+use base::region;
 use replica::table::Locality;
 
 /// The maximum number of addresses in an answer.
@@ -63,6 +64,15 @@
     if let Some(region) = &lookup.region {
         regions.entry(data_centre.clone()).or_insert_with(|| region.as_str().into());
     }
+    let table = process.table.borrow();
+    let stated_region = match &lookup.data_centre {
+        Some(_) => regions.get(&data_centre).map(|region| &**region),
+        None => lookup.region.as_deref(),
+    };
+    let caller_region = match stated_region {
+        Some(region) => table.regions().region(region),
+        None => table.region_of(&data_centre),
+    };
     let caller = Locality { data_centre, regions };
     let members = process.members.borrow();
     let now = process.clock.now();
@@ -75,6 +85,7 @@
         .map(|node| Candidate {
             address: node.caller_address,
             distance: caller.distance(&node.data_centre),
+            region: table.region_of(&node.data_centre),
             capacity: node.present_capacity(),
             sends_per_second: node.sends_per_second,
         })
@@ -85,11 +96,24 @@
         candidates.push(Candidate {
             address: settings.caller_address,
             distance: caller.distance(&settings.data_centre),
+            region: table.region_of(&settings.data_centre),
             capacity: present_capacity(settings.capacity, process.slowness.get()),
             sends_per_second: process.sends_per_second.get(),
         });
     }
+    let candidates = placement::eligible(candidates, caller_region, homes(process, lookup));
     let mut found = placement::choose(&candidates, process.max_fan_out());
     found.truncate(MAX_ADDRESSES);
     found
 }
+
+/// The regions that all routes with homes of the caller's host allow.
+fn homes(process: &Process, lookup: &Lookup) -> region::Set {
+    let router = process.router.borrow();
+    let (Some(router), Some(host)) = (router.as_ref(), &lookup.host) else {
+        return region::Set::ANY;
+    };
+    // As for requests, the name may have a port that the routes lack.
+    let without_port = host.rsplit_once(':').map_or(host.as_str(), |(name, _)| name);
+    router.common_homes(host).intersect(router.common_homes(without_port))
+}
--- a/crates/process/entry/src/placement.rs
+++ b/crates/process/entry/src/placement.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::serving::SEND_COST;
+use base::region;
 use replica::record::Distance;
 
 /// A node that callers may be sent to.
@@ -17,6 +18,8 @@
     pub address: SocketAddr,
     /// Its distance from the caller.
     pub distance: Distance,
+    /// The set of its region; empty if not known.
+    pub region: region::Set,
     /// Its share of a processor core, in thousandths.
     pub capacity: u32,
     /// The number of requests that it sends to upstream servers per second.
@@ -56,6 +59,21 @@
     }
 }
 
+/// The nodes that are in the caller's region or in one of `homes`; all if there are none. Requests
+/// to a host whose routes have homes should not arrive at other nodes.
+pub fn eligible(
+    candidates: Vec<Candidate>,
+    caller: region::Set,
+    homes: region::Set,
+) -> Vec<Candidate> {
+    let regions = homes.union(caller);
+    let is_eligible = |node: &Candidate| regions.allows(node.region);
+    if !candidates.iter().any(is_eligible) {
+        return candidates;
+    }
+    candidates.into_iter().filter(is_eligible).collect()
+}
+
 /// The nodes that a caller should use, the best one first.
 pub fn choose(candidates: &[Candidate], fan_out: usize) -> Vec<SocketAddr> {
     let mut timed: Vec<(Duration, SocketAddr)> =
--- a/crates/process/entry/src/protocol.rs
+++ b/crates/process/entry/src/protocol.rs
@@ -51,6 +51,8 @@
     pub data_centre: Option<String>,
     /// The caller's region, if given.
     pub region: Option<String>,
+    /// The host to which the caller's requests go, if given.
+    pub host: Option<String>,
 }
 
 /// The HTTP protocol of a deployment.
--- a/crates/process/entry/src/read.rs
+++ b/crates/process/entry/src/read.rs
@@ -44,6 +44,8 @@
     NoConfig,
     #[error("no route matches its host and path")]
     NoRoute,
+    #[error("its route and its customer allow no region in common")]
+    NoCommonRegion,
     #[error("it has no id")]
     NoRequestId,
     #[error("its body is above the limit")]
@@ -60,6 +62,7 @@
         let (status, retry_after) = match self {
             Self::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, Some(STARTUP_RETRY_AFTER)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
+            Self::NoCommonRegion => (StatusCode::FORBIDDEN, None),
             Self::NoRequestId | Self::BodyAborted => (StatusCode::BAD_REQUEST, None),
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, None),
             Self::BodyTimeout => (StatusCode::REQUEST_TIMEOUT, None),
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::exchange::CallerRequest;
 use crate::exchange::Reply;
 use crate::forward;
+use crate::homes;
 use crate::members::present_capacity;
 use crate::process::Process;
 use crate::process::RouteStats;
@@ -32,6 +33,7 @@
 use crate::serving::SEND_COST;
 use crate::trace::Trace;
 use base::entity::Service;
+use base::region;
 use base::time::Time;
 use gather::event;
 use gather::event::Cause;
@@ -104,6 +106,9 @@
             return rejection.into_answer(&process, request_headers.request_id.as_ref());
         }
     };
+    let Some(homes) = homes::common(route.homes, customer_homes()) else {
+        return Rejection::NoCommonRegion.into_answer(&process, Some(&id));
+    };
     let mut headers = parts.headers;
     remove_hop_by_hop(&mut headers);
     let caller_request = Rc::new(CallerRequest {
@@ -114,6 +119,7 @@
         id,
         caller_deadline: arrived + caller_timeout,
         leaves_reserve: leaves_reserve(&process, &route),
+        homes,
         may_be_passed_on: may_pass_on,
         possible_runs: Cell::new(0),
         answered: Cell::new(false),
@@ -124,6 +130,11 @@
     run(&process, &router, &route, caller_request, arrived).await
 }
 
+/// The regions in which the customer of a request allows it to be served. Customers have none yet.
+fn customer_homes() -> region::Set {
+    region::Set::ANY
+}
+
 /// Runs a request that arrived at `arrived`, here or at another node.
 async fn run(
     process: &Rc<Process>,
@@ -136,11 +147,13 @@
     let stats = process.route_stats.borrow_mut().get_or_insert(&route.name, route.objective);
     let plan = plan(process, route, arrived, caller_timeout, &stats);
     let pass_on = || forward::pass_on(process, &caller_request, router.version);
-    if caller_request.may_be_passed_on
-        && lacks_path(process, &plan)
-        && let Some(answer) = pass_on().await
-    {
-        return answer;
+    if caller_request.may_be_passed_on && lacks_path(process, &plan) {
+        if let Some(answer) = pass_on().await {
+            return answer;
+        }
+        if !caller_request.homes.is_any() {
+            return refuse_in_homes(process, route, &caller_request);
+        }
     }
     breaks::begin(process, &caller_request);
     let mut trace = Trace::default();
@@ -151,7 +164,7 @@
     };
     // Its services may be lost without having been tried before.
     let found_no_server = response.outcome == Outcome::NotRun
-        && response.missing.iter().all(|(_, cause)| *cause == Cause::NoServer);
+        && response.missing.iter().all(|(_, cause)| cause.is_unserved());
     if caller_request.may_be_passed_on
         && found_no_server
         && process.is_outreached()
@@ -165,6 +178,22 @@
     answer(process, route, &caller_request, response)
 }
 
+/// Refuses a request that this node can't answer since it has lost its path, and that no node in
+/// the request's homes has taken over.
+fn refuse_in_homes(process: &Process, route: &Route, caller_request: &CallerRequest) -> Answer {
+    log::info!(target: "request", id = caller_request.id.to_str().unwrap_or_default(), route = route.name.as_ref(), homes = home_names(process, caller_request.homes); "A request was refused: this node has lost its path to the servers, and no node in the allowed regions took it over.");
+    refusal()
+}
+
+/// The names of the regions in which a request may be served; `None` for any region.
+fn home_names(process: &Process, homes: region::Set) -> Option<String> {
+    if homes.is_any() {
+        return None;
+    }
+    let table = process.table.borrow();
+    Some(table.regions().names(homes).map(|name| &**name).collect::<Vec<_>>().join(", "))
+}
+
 /// Whether another node reaches more services than this one, which has lost its path to so many of
 /// the request's that the others can't answer it.
 fn lacks_path(process: &Process, plan: &Plan) -> bool {
@@ -262,7 +291,7 @@
             let blocked_until = breaks::blocked_until(process, caller_request);
             let after = match blocked_until {
                 Some(until) => until.since(process.clock.now()),
-                None => retry_after(process, route, &response.missing),
+                None => retry_after(process, route, caller_request.homes, &response.missing),
             };
             empty_answer(StatusCode::SERVICE_UNAVAILABLE, Some(after))
         }
@@ -275,18 +304,23 @@
 
 /// When the caller of a request that was not run may come back: once the servers that turn
 /// requests away are expected to accept it.
-fn retry_after(process: &Process, route: &Route, missing: &[(Service, Cause)]) -> Duration {
+fn retry_after(
+    process: &Process,
+    route: &Route,
+    homes: region::Set,
+    missing: &[(Service, Cause)],
+) -> Duration {
     let now = process.clock.now();
     let mut table = process.table.borrow_mut();
     let wait = |(service, cause): &(Service, Cause)| {
         let returns_at = match cause {
-            Cause::Limited => table.return_at(now, *service),
-            _ => table.accepts_at(now, *service),
+            Cause::Limited => table.return_at(now, *service, homes),
+            _ => table.accepts_at(now, *service, homes),
         };
         returns_at.map_or(Duration::ZERO, |at| at.since(now))
     };
     // Other nodes, which lookups name, reach the servers.
-    if missing.iter().all(|(_, cause)| *cause == Cause::NoServer) && !process.has_path() {
+    if missing.iter().all(|(_, cause)| cause.is_unserved()) && !process.has_path() {
         return LOST_PATH_RETRY_AFTER;
     }
     let optional = route.fanout.width() - route.fanout.min_services();
@@ -321,6 +355,7 @@
     if outcome == "answered" && !is_late {
         return true;
     }
+    let homes = home_names(process, caller_request.homes);
     let table = process.table.borrow();
     let missing: Vec<String> = response
         .missing
@@ -337,6 +372,7 @@
         patience_ms = caller_request.caller_deadline.since(arrived).as_millis() as u64,
         timeout_ms = route.timeout.as_millis() as u64,
         version = router.version,
+        homes,
         missing = missing.join(", ");
         "{outcome}"
     );
--- a/crates/process/entry/tests/lookup_placement.rs
+++ b/crates/process/entry/tests/lookup_placement.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use base::region;
 use entry::members;
 use entry::placement;
 use entry::placement::Candidate;
@@ -9,7 +10,8 @@
 
 fn node(number: u8, distance: Distance, capacity: u32) -> Candidate {
     let address = SocketAddr::from(([10, 0, 0, number], 80));
-    Candidate { address, distance, capacity, sends_per_second: 0 }
+    let region = region::Set::NONE;
+    Candidate { address, distance, region, capacity, sends_per_second: 0 }
 }
 
 fn numbers(found: &[SocketAddr]) -> Vec<u8> {
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -120,6 +120,8 @@
 pub enum Cause {
     /// No server is known, or the last attempt was not sent.
     NoServer,
+    /// No server in the regions in which the request may be served can be used; there are others.
+    NoHome,
     /// Its servers have more requests than they can finish in time.
     Busy,
     /// Its servers refused the request.
@@ -139,10 +141,16 @@
 }
 
 impl Cause {
+    /// Whether no server could be used.
+    pub fn is_unserved(self) -> bool {
+        matches!(self, Self::NoServer | Self::NoHome)
+    }
+
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::NoServer => "no server",
+            Self::NoHome => "no server in its regions",
             Self::Busy => "busy",
             Self::Refused => "refused",
             Self::TurnedAway => "turned away",
@@ -176,6 +184,11 @@
         false
     }
 
+    /// Whether `service` has servers in regions in which the request may not be served.
+    fn is_restricted(&mut self, _service: Service) -> bool {
+        false
+    }
+
     /// Whether the request may have ended the servers that ran it.
     fn standing(&mut self, _now: Time) -> Standing {
         Standing::Clear
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -115,7 +115,9 @@
                 None => {
                     let service = self.plan.services[index];
                     let accepts_at = balancer.accepts_at(now, service);
-                    if let Some(cause) = held_back(service, accepts_at, balancer) {
+                    let held_back = held_back(service, accepts_at, balancer);
+                    let restricted = || balancer.is_restricted(service).then_some(Cause::NoHome);
+                    if let Some(cause) = held_back.or_else(restricted) {
                         self.progress[index].cause = cause;
                     }
                 }
@@ -364,7 +366,8 @@
         match completion {
             Completion::NotSent => {
                 progress.possible_runs -= 1;
-                progress.cause = Cause::NoServer;
+                let is_restricted = balancer.is_restricted(service);
+                progress.cause = if is_restricted { Cause::NoHome } else { Cause::NoServer };
                 if let Some(taken) = extra_at {
                     balancer.refund(now, service, taken);
                 }
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -42,11 +42,15 @@
     }
 
     fn accepts_at(&mut self, now: Time, service: Service) -> Option<Time> {
-        self.table.accepts_at(now, service)
+        self.table.accepts_at(now, service, self.choice.homes)
     }
 
     fn is_limited(&mut self, service: Service) -> bool {
-        self.table.is_limited(service)
+        self.table.is_limited(service, self.choice.homes)
+    }
+
+    fn is_restricted(&mut self, service: Service) -> bool {
+        self.table.is_restricted(service, self.choice.homes)
     }
 
     fn first_send(&mut self, now: Time, service: Service) {
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use base::entity::Service;
+use base::region;
 use base::time::Time;
 use share::limit::Limit;
 use site::register::Incarnation;
@@ -73,6 +74,8 @@
     pub distance: Distance,
     /// Its data centre; empty if not known.
     pub data_centre: Arc<str>,
+    /// The set of its region; empty if not known.
+    pub region: region::Set,
     /// How many requests it runs concurrently.
     pub slots: u32,
     /// Whether it may get requests.
@@ -126,6 +129,7 @@
             service,
             distance,
             data_centre: Arc::from(""),
+            region: region::Set::NONE,
             slots: 1,
             in_use: true,
             entry_missing: false,
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -10,7 +10,9 @@
 //!
 //! Invariants: a draining server is never chosen. Nor is one that turned requests away, until
 //! the time that it asked for is over; then single trials decide when it is used again. One that
-//! names a limit is chosen only within this node's part of it. An index keeps its meaning while the process runs; another incarnation gets a new index.
+//! names a limit is chosen only within this node's part of it. One outside of a request's homes is
+//! never chosen for it. An index keeps its meaning while the process runs; another incarnation gets
+//! a new index.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -110,6 +112,8 @@
     /// Whether it goes to any server, not to the best one: another attempt broke off, and the
     /// requests that ran beside it, one of which may have ended the server, must not meet again.
     pub spreads: bool,
+    /// The regions in which it may be served.
+    pub homes: region::Set,
 }
 
 /// A chosen server.
@@ -185,6 +189,12 @@
         &self.regions
     }
 
+    /// The set of the region of `data_centre`; empty if it is not known.
+    pub fn region_of(&self, data_centre: &str) -> region::Set {
+        let region = self.locality.regions.get(data_centre);
+        region.map_or(region::Set::NONE, |name| self.regions.region(name))
+    }
+
     /// The index of the service `name`, which is added if it is new.
     pub fn intern_service(&mut self, name: &Arc<str>) -> Service {
         if let Some(service) = self.services_by_name.get(name) {
@@ -260,15 +270,21 @@
                     .or_else(|| self.remove_id(&entry.incarnation.id));
                 let distance = self.locality.distance(&entry.data_centre);
                 let incarnation = entry.incarnation.clone();
-                let mut record = Record::new(incarnation, entry.address, service, distance);
-                record.data_centre = Arc::clone(&entry.data_centre);
+                let record = Record::new(incarnation, entry.address, service, distance);
                 let server = self.servers.push(record);
                 self.by_key.insert(self.key(server), server);
                 self.by_incarnation.insert(entry.incarnation.clone(), server);
                 server
             }
         };
+        let region = self.region_of(&entry.data_centre);
         let record = &mut self.servers[server];
+        // An entry that was corrected names another data centre for the same incarnation.
+        if record.data_centre != entry.data_centre {
+            record.data_centre = Arc::clone(&entry.data_centre);
+            record.distance = self.locality.distance(&entry.data_centre);
+            record.region = region;
+        }
         record.slots = entry.slots.max(1);
         record.entry_missing = false;
         record.in_use = true;
@@ -391,7 +407,9 @@
         let mut best: Option<(Duration, Server, Duration)> = None;
         for index in 0..self.servers_by_service[service].len() {
             let server = self.servers_by_service[service][index];
-            if tried.contains(&server) || !self.servers[server].accepts(now) {
+            let record = &self.servers[server];
+            let is_allowed = choice.homes.allows(record.region);
+            if !is_allowed || tried.contains(&server) || !record.accepts(now) {
                 continue;
             }
             let jitter = 1.0 + max_jitter * self.rng.random::<f64>();
@@ -428,6 +446,22 @@
         record.in_use && record.trial_at().is_none_or(|trial_at| now >= trial_at)
     }
 
+    /// Whether a request with these homes may be sent to a server.
+    pub fn is_allowed(&self, server: Server, homes: region::Set) -> bool {
+        homes.allows(self.servers[server].region)
+    }
+
+    /// Whether `service` has servers outside of `homes`, which a request with these homes can't
+    /// use.
+    pub fn is_restricted(&self, service: Service, homes: region::Set) -> bool {
+        !homes.is_any() && self.servers_of(service).any(|server| !self.is_allowed(server, homes))
+    }
+
+    /// The servers of a service that a request with these homes may be sent to.
+    fn allowed(&self, service: Service, homes: region::Set) -> impl Iterator<Item = Server> {
+        self.servers_of(service).filter(move |server| self.is_allowed(*server, homes))
+    }
+
     /// Records that a server wants no requests for the time `asked`.
     pub fn turned_away(&mut self, now: Time, server: Server, asked: Duration) {
         let spread = MAX_TRIAL_DELAY.min(asked).mul_f64(self.rng.random());
@@ -498,12 +532,12 @@
         self.servers_in_use().filter_map(limit)
     }
 
-    /// When a service accepts a request again whose servers all turn requests away; `None` if
-    /// it has no servers or one of them accepts requests.
-    pub fn accepts_at(&self, now: Time, service: Service) -> Option<Time> {
+    /// When a service accepts a request with these homes again whose servers there all turn
+    /// requests away; `None` if it has no servers there or one of them accepts requests.
+    pub fn accepts_at(&self, now: Time, service: Service, homes: region::Set) -> Option<Time> {
         let mut earliest: Option<Time> = None;
-        for server in &self.servers_by_service[service] {
-            let record = &self.servers[*server];
+        for server in self.allowed(service, homes) {
+            let record = &self.servers[server];
             let trial_at = if record.accepts(now) { None } else { record.trial_at() };
             let limited_until = record.limit.as_ref().and_then(|limit| limit.admits_at(now));
             let accepts_at = trial_at.max(limited_until)?;
@@ -512,17 +546,17 @@
         earliest
     }
 
-    /// Whether a server of `service` names a limit.
-    pub fn is_limited(&self, service: Service) -> bool {
-        self.servers_of(service).any(|server| self.servers[server].limit.is_some())
+    /// Whether a server of `service` that a request with these homes may be sent to names a limit.
+    pub fn is_limited(&self, service: Service, homes: region::Set) -> bool {
+        self.allowed(service, homes).any(|server| self.servers[server].limit.is_some())
     }
 
     /// When a request that `service` does not accept now should return: like
     /// [`Self::accepts_at`], but requests that are refused for limits get times one after the
     /// other.
-    pub fn return_at(&mut self, now: Time, service: Service) -> Option<Time> {
-        let accepts_at = self.accepts_at(now, service);
-        let servers = self.servers_by_service[service].iter().copied();
+    pub fn return_at(&mut self, now: Time, service: Service, homes: region::Set) -> Option<Time> {
+        let accepts_at = self.accepts_at(now, service, homes);
+        let servers = self.allowed(service, homes);
         let usable = servers.filter(|server| self.servers[*server].accepts(now));
         let limited = |server: &Server| self.servers[*server].limit.is_some();
         let rate =
--- a/crates/version/replica/tests/named_limit.rs
+++ b/crates/version/replica/tests/named_limit.rs
@@ -6,6 +6,7 @@
 
 use base::entity::Server;
 use base::entity::Service;
+use base::region;
 use base::time::Time;
 use replica::limit::Change;
 use replica::limit::Stated;
@@ -117,8 +118,9 @@
     let (mut table, service, servers) = table(1);
     name_limit(&mut table, START, servers[0], 10.0);
     assert!(table.choose(START, service, SERVICE_TIME, 0.0, &[]).is_none());
-    assert!(table.accepts_at(START, service).is_some());
-    let returns: Vec<Time> = (0..10).filter_map(|_| table.return_at(START, service)).collect();
+    assert!(table.accepts_at(START, service, region::Set::ANY).is_some());
+    let returns: Vec<Time> =
+        (0..10).filter_map(|_| table.return_at(START, service, region::Set::ANY)).collect();
     assert_eq!(returns.len(), 10);
     let interval = Duration::from_millis(99);
     assert!(returns.windows(2).all(|pair| pair[1].since(pair[0]) >= interval), "{returns:?}");
--- a/crates/version/replica/tests/turned_away.rs
+++ b/crates/version/replica/tests/turned_away.rs
@@ -6,6 +6,7 @@
 
 use base::entity::Server;
 use base::entity::Service;
+use base::region;
 use base::time::Time;
 use replica::table::Locality;
 use replica::table::Observation;
@@ -55,11 +56,12 @@
 fn shard_that_turns_away_gets_nothing_until_the_earliest_end() {
     let (mut table, service) = table(1, 3);
     let servers: Vec<Server> = table.servers_of(service).collect();
-    assert_eq!(table.accepts_at(START, service), None);
+    assert_eq!(table.accepts_at(START, service, region::Set::ANY), None);
     for (server, factor) in servers.iter().zip([3, 1, 2]) {
         table.turned_away(START, *server, ASKED * factor);
     }
-    let accepts_at = table.accepts_at(START, service).expect("all turn requests away");
+    let accepts_at =
+        table.accepts_at(START, service, region::Set::ANY).expect("all turn requests away");
     assert!(accepts_at >= START + ASKED);
     assert!(accepts_at <= START + ASKED + Duration::from_millis(500));
     let mut now = START;
@@ -76,7 +78,7 @@
     let (mut table, service) = table(1, 2);
     let servers: Vec<Server> = table.servers_of(service).collect();
     table.turned_away(START, servers[0], ASKED);
-    assert_eq!(table.accepts_at(START, service), None);
+    assert_eq!(table.accepts_at(START, service, region::Set::ANY), None);
     for ms in 0..100 {
         let now = START + Duration::from_millis(ms * 40);
         assert_eq!(choose(&mut table, now, service), Some(servers[1]));
@@ -117,12 +119,12 @@
     let (mut table, service) = table(1, 1);
     let server = table.servers_of(service).next().expect("a server");
     table.turned_away(START, server, ASKED);
-    let trial = table.accepts_at(START, service).expect("it turns requests away");
+    let trial = table.accepts_at(START, service, region::Set::ANY).expect("it turns requests away");
     table.started(trial, server);
     let refused = trial + Duration::from_millis(5);
     observe(&mut table, refused, server, trial, Observation::Refused { load: None });
     assert_eq!(choose(&mut table, refused, service), None);
-    let next = table.accepts_at(refused, service).expect("the trial was refused");
+    let next = table.accepts_at(refused, service, region::Set::ANY).expect("the trial was refused");
     assert!(next > refused);
     table.started(next, server);
     let replied = next + Duration::from_millis(5);
--- a/crates/version/site/src/router.rs
+++ b/crates/version/site/src/router.rs
@@ -65,6 +65,8 @@
     /// Limits on what a caller may send.
     pub limits: Limits,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
+    /// See [`Self::common_homes`]; only hosts that have routes with homes.
+    homes: HashMap<Arc<str>, region::Set>,
 }
 
 impl Router {
@@ -76,6 +78,7 @@
         mut resolve: impl FnMut(&Arc<str>) -> Service,
     ) -> Self {
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
+        let mut homes: HashMap<Arc<str>, region::Set> = HashMap::new();
         let highest = highest_priorities(config);
         for route in &config.routes {
             let is_most_urgent = services_of(&route.target).all(|service| {
@@ -93,10 +96,14 @@
                 homes: regions.homes(&route.homes),
                 public: route.public,
             });
+            if !resolved.homes.is_any() {
+                let common = homes.entry(Arc::clone(&route.host)).or_default();
+                *common = common.intersect(resolved.homes);
+            }
             let host = hosts.entry(Arc::clone(&route.host)).or_default();
             host.insert(Arc::clone(&route.prefix), resolved);
         }
-        Self { version: config.version, limits: config.limits, hosts }
+        Self { version: config.version, limits: config.limits, hosts, homes }
     }
 
     /// The greatest number of services that a request is sent to.
@@ -105,6 +112,11 @@
         routes.map(|route| route.fanout.width()).max().unwrap_or(1)
     }
 
+    /// The regions that all routes of `host` with homes allow; all if it has no such route.
+    pub fn common_homes(&self, host: &str) -> region::Set {
+        self.homes.get(host).copied().unwrap_or_default()
+    }
+
     /// The route of `host` with the longest prefix of `path`. Prefixes match only up to a
     /// slash, so `/one/` does not match `/onerous/`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
