Tests of allowed regions; lookups forget nodes that were last heard before a pause

Cause: after a pause of this node, nodes that ended meanwhile counted as ready for 0.8 s more, however long the pause was, and lookups named them. Change: lookups name no node whose last heartbeat is older than 8 s. Tests of the choice, the causes, lookups, and one with processes in which the home's server is ended.

--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -79,7 +79,7 @@
     let own_reach = process.reach.get();
     let best_reach = members.best_reach(now, own_reach);
     let mut candidates: Vec<Candidate> = members
-        .serving(now)
+        .named(now)
         .map(|member| &member.heartbeat)
         .filter(|node| has_path(node.reach, best_reach))
         .map(|node| Candidate {
--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -172,6 +172,10 @@
 const FAR_INTERVALS: u32 = 3;
 /// The number of consecutive missed heartbeats after which a node is silent.
 const MAX_MISSED_HEARTBEATS: u32 = 4;
+/// A node whose last heartbeat is older than this is not named, whatever this node was paused for.
+/// Above the time after which a node of another region is silent, and below the 9 s within which a
+/// node that has ended must be out of lookups.
+const MAX_NAMED_AGE: Duration = Duration::from_millis(8000);
 /// The number of heartbeats by which a node announces itself to its region.
 const ANNOUNCEMENTS: u64 = 3;
 /// A standby node repeats its announcement to the serving nodes of its data centre once
@@ -384,6 +388,12 @@
         self.members.values().filter(is_serving)
     }
 
+    /// The other nodes that lookups may name: the serving ones, but none that may have ended long
+    /// ago, while this node was paused.
+    pub fn named(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.serving(now).filter(move |member| now.since(member.received_at) <= MAX_NAMED_AGE)
+    }
+
     /// The other serving nodes of this node's data centre, whether or not they have the
     /// registry's state yet.
     pub fn elected(&self, now: Time) -> impl Iterator<Item = &Heartbeat> {
--- a/crates/process/entry/tests/heartbeats.rs
+++ b/crates/process/entry/tests/heartbeats.rs
@@ -55,6 +55,25 @@
     }
 }
 
+/// Guards against lookups that name a node, of this region or of another one, more than 9 s after
+/// its end, also if this node was paused meanwhile.
+#[test]
+fn ended_node_is_not_named_after_nine_seconds() {
+    for data_centre in [0, 1, 2, 3] {
+        for paused in [false, true] {
+            let mut members = own();
+            let node = peer(data_centre, 2, 500);
+            members.on_heartbeat(at(0), node.ip, heartbeat(&node, 1));
+            let ticks = (0..=30).map(|tick| tick * 400);
+            ticks.filter(|ms| !paused || *ms >= 9200).for_each(|ms| {
+                members.tick(at(ms));
+                let named = members.named(at(ms)).count();
+                assert!(ms <= 9000 || named == 0, "{data_centre}: named at {ms}, {paused}");
+            });
+        }
+    }
+}
+
 /// A node that was frozen finds old heartbeats and must read the new ones first.
 #[test]
 fn own_pause_makes_no_node_silent() {
--- a/crates/process/entry/tests/lookup_placement.rs
+++ b/crates/process/entry/tests/lookup_placement.rs
@@ -1,8 +1,10 @@
 //! Which nodes a lookup names.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use base::region;
+use entry::homes;
 use entry::members;
 use entry::placement;
 use entry::placement::Candidate;
@@ -81,3 +83,28 @@
 fn no_nodes_give_no_addresses() {
     assert!(placement::choose(&[], 90).is_empty());
 }
+
+/// Guards against lookups that name nodes abroad while others are known, and against lookups
+/// without any node.
+#[test]
+fn nodes_abroad_are_named_only_if_no_others_are_known() {
+    let names = ["north", "south", "west"].map(Arc::from);
+    let index = region::Index::new(&names);
+    let [north, south, west] = names.each_ref().map(|name| index.region(name));
+    let in_region = |number, region| Candidate { region, ..node(number, Distance::Far, 250) };
+    let nodes = vec![in_region(1, north), in_region(2, south), in_region(3, west)];
+    let eligible = |caller, homes| {
+        let found = placement::eligible(nodes.clone(), caller, homes);
+        numbers(&found.iter().map(|node| node.address).collect::<Vec<_>>())
+    };
+    assert_eq!(eligible(north, south), [1, 2]);
+    assert_eq!(eligible(north, region::Set::NONE), [1]);
+    assert_eq!(eligible(region::Set::NONE, west), [3]);
+    assert_eq!(eligible(region::Set::NONE, region::Set::NONE), [1, 2, 3]);
+    assert_eq!(eligible(north, region::Set::ANY), [1, 2, 3]);
+    // Homes of a route and a customer: refused only if each has some, and none in common.
+    assert_eq!(homes::common(north.union(south), south.union(west)), Some(south));
+    assert_eq!(homes::common(north, region::Set::ANY), Some(north));
+    assert_eq!(homes::common(north, south), None);
+    assert_eq!(homes::common(region::Set::NONE, south), Some(region::Set::NONE));
+}
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -137,7 +137,7 @@
         };
         let text = json!({
             "node_name": format!("node-{number}"), "ip": ip, "zone": "hall", "region": "land",
-            "zones": { "hall": "land" },
+            "zones": { "hall": "land", "reef": "sea" },
             "listen": { "front": port(6), "readiness_addr": port(7), "directory": port(5) },
             "port_range": [PEER_PORT, PEER_PORT + 15],
             "limits": { "cpu_share": 1.0, "memory_mb": MEMORY_MB },
--- a/crates/request/gather/tests/turned_away.rs
+++ b/crates/request/gather/tests/turned_away.rs
@@ -1,10 +1,12 @@
-//! Requests to services whose servers turn requests away for a time that they state.
+//! Requests to services whose servers turn requests away for a time that they state, or are outside
+//! of the request's homes.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::entity::Service;
+use base::region;
 use base::time::Time;
 use gather::event::Action;
 use gather::event::Cause;
@@ -37,6 +39,7 @@
     table: Table,
     budget: Budget,
     services: Vec<Service>,
+    homes: region::Set,
 }
 
 impl Node {
@@ -60,7 +63,7 @@
         let services = (0..SHARDS).map(|shard| table.intern_service(&name(shard))).collect();
         let settings =
             budget::Settings { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 };
-        Self { table, budget: Budget::new(settings), services }
+        Self { table, budget: Budget::new(settings), services, homes: region::Set::ANY }
     }
 
     /// Runs a request that is sent to all shards; the servers of those for which `turns_away`
@@ -85,7 +88,7 @@
             let mut balancer = NodeBalancer {
                 table: &mut self.table,
                 budget: &mut self.budget,
-                choice: Choice::default(),
+                choice: Choice { homes: self.homes, ..Choice::default() },
                 standing: Standing::Clear,
             };
             machine.handle(now, event, &mut balancer, &mut actions);
@@ -145,6 +148,17 @@
     }
 }
 
+/// Guards against a request that waits for servers of its homes though there are none, and against a
+/// cause that sends the operator to look for missing servers.
+#[test]
+fn request_without_servers_in_its_homes_is_refused_at_once() {
+    let mut node = Node::new();
+    node.homes = region::Set::NONE;
+    let (response, at, sends) = node.request(1, |_| false);
+    assert_eq!((response.outcome, at, sends), (Outcome::NotRun, START, 0));
+    assert!(response.missing.iter().all(|(_, cause)| *cause == Cause::NoHome));
+}
+
 #[test]
 fn caller_returns_when_enough_shards_accept_requests() {
     let seconds = |all: &[u64]| all.iter().map(|s| Duration::from_secs(*s)).collect();
--- a/crates/version/site/tests/route_match.rs
+++ b/crates/version/site/tests/route_match.rs
@@ -35,6 +35,10 @@
 }
 
 fn router(routes: Vec<Route>) -> Router {
+    router_in(&region::Index::default(), routes)
+}
+
+fn router_in(regions: &region::Index, routes: Vec<Route>) -> Router {
     let config = Config {
         version: 1,
         routes,
@@ -43,7 +47,7 @@
         customers: None,
     };
     let mut names: Vec<Arc<str>> = Vec::new();
-    Router::new(&config, &region::Index::default(), |name| {
+    Router::new(&config, regions, |name| {
         let known = names.iter().position(|other| other == name);
         let index = known.unwrap_or_else(|| {
             names.push(Arc::clone(name));
@@ -78,6 +82,30 @@
     assert_eq!(route_name(&router, "a.example", "").as_deref(), None);
 }
 
+/// Guards against lookups that name nodes which only some routes of the host may use.
+#[test]
+fn common_homes_are_those_of_all_routes_with_homes() {
+    let names = ["north", "south", "west"].map(Arc::from);
+    let index = region::Index::new(&names);
+    let with = |host: &str, prefix: &str, homes: &[usize]| {
+        let homes = homes.iter().map(|at| Arc::clone(&names[*at])).collect();
+        Route { homes, ..route(prefix, host, prefix, one("x")) }
+    };
+    let routes = vec![
+        with("a.example", "/", &[]),
+        with("a.example", "/one/", &[0, 1]),
+        with("a.example", "/two/", &[1, 2]),
+        with("b.example", "/", &[]),
+        with("c.example", "/one/", &[0]),
+        with("c.example", "/two/", &[1]),
+    ];
+    let router = router_in(&index, routes);
+    assert_eq!(router.common_homes("a.example"), index.region("south"));
+    assert_eq!(router.common_homes("b.example"), region::Set::ANY);
+    assert_eq!(router.common_homes("c.example"), region::Set::NONE);
+    assert_eq!(router.common_homes("d.example"), region::Set::ANY);
+}
+
 #[test]
 fn split_follows_the_weights() {
     let shares = vec![
