--- a/crates/process/share/src/lib.rs
+++ b/crates/process/share/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod bound;
 pub mod limit;
 pub mod part;
+pub mod usage;
