customer, entry: customers by key, quotas at admission, statistics

A configuration with customers was parsed, but requests were not assigned to them. A request now names its customer by its key (401, or 503 while the configuration is not confirmed), servers get the customer's name and never the key, and a token of the customer's quota is taken before the first send and returned if the request has not run. GET /status shows the top customers.

--- a/crates/fakes/src/instance.rs
+++ b/crates/fakes/src/instance.rs
@@ -73,6 +73,10 @@
     pub body: Vec<u8>,
     /// The value of the deadline header, in milliseconds; zero if it was absent.
     pub deadline_ms: u64,
+    /// The customer that the request names; empty if it names none.
+    pub customer: String,
+    /// Whether the request contains a caller's key.
+    pub has_credential: bool,
 }
 
 /// A request that was addressed to a server.
@@ -270,11 +274,14 @@
     let method = request.method().to_string();
     let path = request.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
     let deadline_ms = header(&headers, "heatherseam-deadline-ms").parse().unwrap_or(0);
+    let customer = header(&headers, "heatherseam-tenant");
+    let has_credential = headers.contains_key("heatherseam-credential");
     let body = http::read(request.into_body()).await?.to_vec();
     let poison = {
         let mut state = server.state.lock();
         let text = format!("{path} {}", String::from_utf8_lossy(&body));
-        state.runs.push(Run { id: id.clone(), method, path, body, deadline_ms });
+        let id = id.clone();
+        state.runs.push(Run { id, method, path, body, deadline_ms, customer, has_credential });
         state.poison.clone().filter(|poison| text.contains(poison.mark))
     };
     if let Some(poison) = poison {
--- a/crates/process/entry/src/admin.rs
+++ b/crates/process/entry/src/admin.rs
@@ -2,6 +2,7 @@
 //! since they end servers.
 //!
 //!     GET /metrics
+//!     GET /status                     the customers with the most requests and refusals, as JSON
 //!     GET /blocked                    the blocked requests, as JSON
 //!     DELETE /blocked/REQUEST         ends a block, at all nodes
 
@@ -25,6 +26,7 @@
 use poison::identity::Identity;
 
 const METRICS_PATH: &str = "/metrics";
+const STATUS_PATH: &str = "/status";
 const BLOCKED_PATH: &str = "/blocked";
 
 /// Answers a request of an operator.
@@ -34,6 +36,7 @@
         (&Method::GET, METRICS_PATH) => {
             Answer::new(Full::new(Bytes::from(process.metrics.encode())))
         }
+        (&Method::GET, STATUS_PATH) => status(&process),
         (&Method::GET, BLOCKED_PATH) => list(&process),
         (&Method::DELETE, _) => match path.strip_prefix(BLOCKED_PATH) {
             Some(name) => release(&process, name.trim_start_matches('/')),
@@ -43,6 +46,17 @@
     }
 }
 
+fn status(process: &Process) -> Answer {
+    json_answer(&json!({ "customers": process.customer_stats.borrow().top() }))
+}
+
+fn json_answer(content: &Value) -> Answer {
+    let mut answer = Answer::new(Full::new(Bytes::from(content.to_string())));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
 fn list(process: &Process) -> Answer {
     let now = process.clock.now();
     let ledger = process.ledger.borrow();
@@ -62,10 +76,7 @@
         })
     };
     let blocked: Vec<Value> = ledger.blocked(now).map(entry).collect();
-    let mut answer = Answer::new(Full::new(Bytes::from(json!(blocked).to_string())));
-    let json = HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(header::CONTENT_TYPE, json);
-    answer
+    json_answer(&json!(blocked))
 }
 
 fn release(process: &Process, name: &str) -> Answer {
--- /dev/null
+++ b/crates/process/entry/src/customers.rs
@@ -0,0 +1,143 @@
+//! Identifies the customers of requests and keeps them to their quotas.
+//!
+//! Invariants: a key is checked only against the configuration that the request uses. A token that
+//! a request took is returned if the request certainly has not run here.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::exchange::CallerRequest;
+use crate::process::Process;
+use crate::protocol::RequestHeaders;
+use crate::read::Rejection;
+use crate::registry::Kind;
+use base::time::Time;
+use customer::book::Customer;
+use share::usage::Rate;
+use site::router::Route;
+use site::router::Router;
+
+/// The customer of a request; `None` if it names none and needs none.
+pub(crate) fn identify(
+    process: &Process,
+    router: &Router,
+    route: &Route,
+    headers: &RequestHeaders,
+) -> Result<Option<Arc<Customer>>, Rejection> {
+    let Some(book) = &router.customers else { return Ok(None) };
+    let credential = headers.credential.as_ref();
+    let found = credential.and_then(|credential| book.find(credential.expose()));
+    match found {
+        Some(_) if may_be_revoked(process) => Err(Rejection::Unconfirmed),
+        Some(customer) => Ok(Some(Arc::clone(customer))),
+        None if route.public => Ok(None),
+        None if credential.is_none() => Err(Rejection::NoKey),
+        None if !is_confirmed(process) => Err(Rejection::Unconfirmed),
+        None => Err(Rejection::UnknownKey),
+    }
+}
+
+/// Whether the registry confirmed this node's configuration a short time ago, so that a key which
+/// it does not contain is not valid.
+fn is_confirmed(process: &Process) -> bool {
+    let at = process.confirmed_at(Kind::Config);
+    let age = process.clock.now().since(at);
+    process.is_config_compared.get() && at != Time::ZERO && age <= process.settings.apply_bound
+}
+
+/// Whether a key of this node's configuration may have been revoked without an outage of the
+/// registry: while the node was frozen, or before it started, if the registry has returned from an
+/// older copy.
+fn may_be_revoked(process: &Process) -> bool {
+    let was_paused = || process.members.borrow().was_paused(process.clock.now());
+    !process.is_config_compared.get() || !is_confirmed(process) && was_paused()
+}
+
+/// Takes over the customers of the router in use; `before` are those of the one before.
+pub(crate) fn install(process: &Process, router: &Router, before: Option<&Router>) {
+    if let Some(book) = &router.customers {
+        for conflict in book.conflicts() {
+            log::warn!(target: "config", version = router.version, holder = conflict.holder.as_ref(), other = conflict.other.as_ref(); "Two customers have the same key; it identifies only the first one.");
+        }
+    }
+    let mut usage = process.usage.borrow_mut();
+    let Some(usage) = usage.as_mut() else { return };
+    let customers = |router: &Router| -> Vec<Arc<Customer>> {
+        let book = router.customers.as_ref();
+        book.map(|book| book.customers().to_vec()).unwrap_or_default()
+    };
+    let now = process.clock.now();
+    let mut limited = HashSet::new();
+    for customer in customers(router).iter().filter(|customer| customer.rate > 0.0) {
+        limited.insert(customer.key);
+        let rate = Rate { per_second: customer.rate, burst: customer.burst };
+        usage.set_rate(now, customer.key, rate);
+    }
+    for customer in before.map(customers).unwrap_or_default() {
+        if !limited.contains(&customer.key) {
+            usage.remove(customer.key);
+        }
+    }
+}
+
+/// The token of an admitted request. It is returned when this is dropped, unless an attempt may
+/// have run.
+pub(crate) struct Token {
+    process: Rc<Process>,
+    request: Rc<CallerRequest>,
+    key: u32,
+    /// Whether the request has certainly not run.
+    is_unused: bool,
+}
+
+impl Token {
+    /// Returns the token of a request that has not run.
+    pub(crate) fn give_back(mut self) {
+        self.is_unused = true;
+    }
+}
+
+impl Drop for Token {
+    fn drop(&mut self) {
+        let is_unused = self.is_unused || self.request.possible_runs.get() == 0;
+        if is_unused && let Some(usage) = self.process.usage.borrow_mut().as_mut() {
+            usage.give_back(self.process.clock.now(), self.key);
+        }
+    }
+}
+
+/// Takes a token for a request; `None` if it needs none.
+pub(crate) fn admit(
+    process: &Rc<Process>,
+    request: &Rc<CallerRequest>,
+) -> Result<Option<Token>, Rejection> {
+    let Some(customer) = &request.customer else { return Ok(None) };
+    let now = process.clock.now();
+    if let Some(usage) = process.usage.borrow_mut().as_mut()
+        && let Err(at) = usage.take(now, customer.key)
+    {
+        process.customer_stats.borrow_mut().refused_above(&customer.name);
+        process.metrics.record_customer_request("above the quota");
+        return Err(Rejection::AboveQuota { wait: at.since(now) + ROUNDING });
+    }
+    let (process, request) = (Rc::clone(process), Rc::clone(request));
+    Ok(Some(Token { key: customer.key, process, request, is_unused: false }))
+}
+
+/// Added to the time until a token is available, because `Retry-After` is rounded to milliseconds.
+const ROUNDING: Duration = Duration::from_millis(1);
+
+/// Records the end of a request that was below the quota.
+pub(crate) fn record(process: &Process, request: &CallerRequest, has_run: bool) {
+    let Some(customer) = &request.customer else { return };
+    let mut stats = process.customer_stats.borrow_mut();
+    if has_run {
+        stats.used(&customer.name);
+        process.metrics.record_customer_request("admitted");
+    } else {
+        stats.refused_below(&customer.name);
+        process.metrics.record_customer_request("refused below the quota");
+    }
+}
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -35,6 +35,8 @@
 use base::entity::Attempt;
 use base::entity::Server;
 use base::time::Time;
+use customer::book::Customer;
+use customer::key::Secret;
 use poison::identity::Identity;
 use poison::identity::Parts as IdentityParts;
 use poison::ledger::Standing;
@@ -51,6 +53,10 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) id: HeaderValue,
+    /// The customer, if the request names one.
+    pub(crate) customer: Option<Arc<Customer>>,
+    /// The key that it came with, for another node; the headers don't contain it.
+    pub(crate) credential: Option<Secret>,
     /// When the caller stops waiting. The plan's deadline is earlier than this.
     pub(crate) caller_deadline: Time,
     /// Whether it leaves a part of what limited servers take to more urgent requests.
@@ -79,7 +85,9 @@
     pub(crate) fn identity(&self) -> Identity {
         *self.identity.get_or_init(|| {
             let value = |name: &HeaderName| self.headers.get(name).map(HeaderValue::as_bytes);
-            let values = CALLER_HEADERS.map(|name| value(&name).unwrap_or_default());
+            let mut values: Vec<&[u8]> =
+                CALLER_HEADERS.iter().map(|name| value(name).unwrap_or_default()).collect();
+            values.extend(self.customer.as_ref().map(|customer| customer.name.as_bytes()));
             Identity::new(&IdentityParts {
                 method: self.method.as_str(),
                 host: value(&header::HOST).unwrap_or_default(),
--- a/crates/process/entry/src/forward.rs
+++ b/crates/process/entry/src/forward.rs
@@ -177,6 +177,9 @@
     *request.uri_mut() = caller_request.uri.clone();
     *request.headers_mut() = caller_request.headers.clone();
     process.protocol.write_timeout(request.headers_mut(), left);
+    if let Some(credential) = &caller_request.credential {
+        process.protocol.write_credential(request.headers_mut(), credential);
+    }
     request.headers_mut().insert(FORWARDED, HeaderValue::from(version));
     let answer = async {
         let response = match connection.sender.try_send_request(request).await {
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod admin;
 mod breaks;
+mod customers;
 mod drive;
 mod exchange;
 mod forward;
--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -326,6 +326,11 @@
         self.last_tick = now;
     }
 
+    /// Whether this process was paused and has resumed a short time ago.
+    pub fn was_paused(&self, now: Time) -> bool {
+        now.since(self.last_tick) > MAX_TICK_GAP || now < self.grace_until
+    }
+
     /// Processes a heartbeat from the node at `from`; returns the node's previous
     /// status.
     pub fn on_heartbeat(&mut self, now: Time, from: IpAddr, heartbeat: Heartbeat) -> Status {
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -35,6 +35,7 @@
     attempts: Counter<u64>,
     extra_sends: Counter<u64>,
     limited_sends: Counter<u64>,
+    customer_requests: Counter<u64>,
     forwards: Counter<u64>,
     dropped_replies: Counter<u64>,
     ended_servers: Counter<u64>,
@@ -72,6 +73,7 @@
             ended_servers: meter.u64_counter("heatherseam_servers_ended").build(),
             forwards: meter.u64_counter("heatherseam_requests_passed_on").build(),
             limited_sends: meter.u64_counter("heatherseam_limited_sends").build(),
+            customer_requests: meter.u64_counter("heatherseam_customer_requests").build(),
             peer_polls: meter.u64_counter("heatherseam_peer_polls").build(),
             registry_calls: meter.u64_counter("heatherseam_registry_calls").build(),
             reach: meter.u64_gauge("heatherseam_services_reached_percent").build(),
@@ -116,6 +118,11 @@
         self.limited_sends.add(1, &[KeyValue::new("extra", extra)]);
     }
 
+    /// Counts a request of any customer.
+    pub(crate) fn record_customer_request(&self, outcome: &'static str) {
+        self.customer_requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that was passed on to another node.
     pub(crate) fn record_forward(&self, end: &'static str) {
         self.forwards.add(1, &[KeyValue::new("end", end)]);
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -39,10 +39,12 @@
 use crate::upstream::Pool;
 use base::entity::Server;
 use base::time::Time;
+use customer::stats::Stats;
 use poison::ledger::Ledger;
 use replica::budget::Budget;
 use replica::service_time::Estimator;
 use replica::table::Table;
+use share::usage::Book as Usage;
 use site::config::Config;
 use site::fleet::Fleet;
 use site::router::Router;
@@ -62,6 +64,12 @@
     pub(crate) departures: RefCell<Departures>,
     pub(crate) table: RefCell<Table>,
     pub(crate) budget: RefCell<Budget>,
+    /// The use of the customers' quotas; `None` if the deployment has none.
+    pub(crate) usage: RefCell<Option<Usage>>,
+    pub(crate) customer_stats: RefCell<Stats>,
+    /// Whether the configuration was compared with that of another node, or none has answered: the
+    /// registry may have returned from an older copy.
+    pub(crate) is_config_compared: Cell<bool>,
     pub(crate) route_stats: RefCell<StatsByRoute>,
     pub(crate) pool: Pool,
     /// The runs that have no reply yet.
@@ -135,7 +143,12 @@
 impl Process {
     /// Whether callers may be sent to this node.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.has_server_list.get() && self.router.borrow().is_some()
+        let is_configured = self
+            .router
+            .borrow()
+            .as_ref()
+            .is_some_and(|router| router.customers.is_none() || self.is_config_compared.get());
+        !self.leaving.get() && self.has_server_list.get() && is_configured
     }
 
     /// When the registry last confirmed the state of a kind.
--- a/crates/process/entry/src/protocol.rs
+++ b/crates/process/entry/src/protocol.rs
@@ -9,6 +9,7 @@
 use hyper::Uri;
 use hyper::http::HeaderValue;
 
+use customer::key::Secret;
 use replica::limit::Stated;
 use replica::record::Load;
 
@@ -19,6 +20,8 @@
     pub request_id: Option<HeaderValue>,
     /// How long the caller waits for the answer.
     pub timeout: Option<Duration>,
+    /// The key by which the caller identifies its customer.
+    pub credential: Option<Secret>,
 }
 
 /// The data in the headers of a server's reply.
@@ -62,6 +65,12 @@
     /// deadline, and the id of the server that it is addressed to.
     fn write_request(&self, headers: &mut HeaderMap, left: Duration, server: &HeaderValue);
 
+    /// Removes the caller's key, and replaces what the caller sent as its customer by `name`.
+    fn write_customer(&self, headers: &mut HeaderMap, name: Option<&str>);
+
+    /// Adds the caller's key, for another node.
+    fn write_credential(&self, headers: &mut HeaderMap, credential: &Secret);
+
     /// Sets how long the sender waits for the answer.
     fn write_timeout(&self, headers: &mut HeaderMap, left: Duration);
 
--- a/crates/process/entry/src/read.rs
+++ b/crates/process/entry/src/read.rs
@@ -17,14 +17,16 @@
 use hyper::http::request::Parts;
 use tokio::time::timeout;
 
+use crate::customers;
 use crate::process::Process;
 use crate::protocol::RequestHeaders;
 use crate::serve;
 use crate::serve::Answer;
+use customer::book::Customer;
 use site::router::Route;
 use site::router::Router;
 
-/// The `Retry-After` of a node that has no configuration yet.
+/// The `Retry-After` of a node that has no configuration yet, or an old one.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A request that has a route and was read completely.
@@ -33,10 +35,25 @@
     pub(crate) router: Rc<Router>,
     pub(crate) route: Arc<Route>,
     pub(crate) id: HeaderValue,
+    pub(crate) customer: Option<Arc<Customer>>,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
 }
 
+/// A request that was rejected before it ran.
+#[derive(Debug)]
+pub(crate) struct Rejected {
+    pub(crate) why: Rejection,
+    /// The customer, if it was identified before.
+    pub(crate) customer: Option<Arc<Customer>>,
+}
+
+impl From<Rejection> for Rejected {
+    fn from(why: Rejection) -> Self {
+        Self { why, customer: None }
+    }
+}
+
 /// Why a request was rejected before it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Rejection {
@@ -46,6 +63,14 @@
     NoRoute,
     #[error("it has no id")]
     NoRequestId,
+    #[error("it has no key")]
+    NoKey,
+    #[error("its key is unknown")]
+    UnknownKey,
+    #[error("this node's configuration may be too old to check its key")]
+    Unconfirmed,
+    #[error("the customer's quota is used up")]
+    AboveQuota { wait: Duration },
     #[error("its body is above the limit")]
     BodyTooLarge,
     #[error("its body broke off")]
@@ -56,9 +81,18 @@
 
 impl Rejection {
     /// Records the rejection in metrics and log, and returns the answer to the caller.
-    pub(crate) fn into_answer(self, process: &Process, id: Option<&HeaderValue>) -> Answer {
+    pub(crate) fn into_answer(
+        self,
+        process: &Process,
+        id: Option<&HeaderValue>,
+        customer: Option<&Customer>,
+    ) -> Answer {
         let (status, retry_after) = match self {
-            Self::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, Some(STARTUP_RETRY_AFTER)),
+            Self::NoConfig | Self::Unconfirmed => {
+                (StatusCode::SERVICE_UNAVAILABLE, Some(STARTUP_RETRY_AFTER))
+            }
+            Self::NoKey | Self::UnknownKey => (StatusCode::UNAUTHORIZED, None),
+            Self::AboveQuota { wait } => (StatusCode::TOO_MANY_REQUESTS, Some(wait)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::NoRequestId | Self::BodyAborted => (StatusCode::BAD_REQUEST, None),
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, None),
@@ -67,33 +101,40 @@
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let current_version = process.router.borrow().as_ref().map(|router| router.version);
         process.metrics.record_rejection(status.as_u16());
-        log::info!(target: "request", id, why:% = self, status = status.as_u16(), version = current_version; "not admitted");
+        let customer = customer.map(|customer| customer.name.as_ref());
+        log::info!(target: "request", id, customer, why:% = self, status = status.as_u16(), version = current_version; "not admitted");
         serve::empty_answer(status, retry_after)
     }
 }
 
-/// Finds the route of a request and reads its body.
+/// Finds the route and the customer of a request and reads its body.
 pub(crate) async fn read(
+    process: &Process,
     router: &Rc<Router>,
     headers: &RequestHeaders,
     caller_timeout: Duration,
     request: Request<Incoming>,
-) -> Result<AdmittedRequest, Rejection> {
+) -> Result<AdmittedRequest, Rejected> {
     let route = route(router, &request).ok_or(Rejection::NoRoute)?;
     let id = headers.request_id.clone().ok_or(Rejection::NoRequestId)?;
-    let (parts, body) = request.into_parts();
+    let customer = customers::identify(process, router, &route, headers)?;
+    let (mut parts, body) = request.into_parts();
+    if router.customers.is_some() {
+        process.protocol.write_customer(&mut parts.headers, None);
+    }
+    let rejected = |why| Rejected { why, customer: customer.clone() };
     // After this time the caller no longer waits.
     let body_timeout = route.timeout.min(caller_timeout);
     let collecting = Limited::new(body, router.limits.body_bytes).collect();
     let body = match timeout(body_timeout, collecting).await {
-        Err(_) => return Err(Rejection::BodyTimeout),
+        Err(_) => return Err(rejected(Rejection::BodyTimeout)),
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Rejection::BodyTooLarge);
+            return Err(rejected(Rejection::BodyTooLarge));
         }
-        Ok(Err(_)) => return Err(Rejection::BodyAborted),
+        Ok(Err(_)) => return Err(rejected(Rejection::BodyAborted)),
     };
-    Ok(AdmittedRequest { router: Rc::clone(router), route, id, parts, body })
+    Ok(AdmittedRequest { router: Rc::clone(router), route, id, customer, parts, body })
 }
 
 /// The route for a request's host, with or without its port, and path.
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -331,6 +331,7 @@
     for update in state.updates {
         watcher::apply_batch(process, update.kind, update.batch, update.is_list);
     }
+    process.is_config_compared.set(true);
     state.leaving.iter().for_each(|server| watcher::server_leaves(process, server));
     if state.era < process.era.borrow().newest() {
         // What the registry confirmed to that node in an earlier era says nothing of this one.
@@ -354,6 +355,7 @@
 /// copy, the list may lack versions and departures that were confirmed before.
 pub(crate) async fn fetch_newer(process: Rc<Process>) {
     ask_nodes(&process, |_| true).await;
+    process.is_config_compared.set(true);
 }
 
 async fn ask_nodes(process: &Process, suffices: impl Fn(&State) -> bool) {
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -51,10 +51,12 @@
 use crate::upstream::Pool;
 use crate::watcher;
 use base::time::Time;
+use customer::stats::Stats;
 use poison::ledger::Ledger;
 use replica::budget::Budget;
 use replica::table::Locality;
 use replica::table::Table;
+use share::usage::Book;
 use site::fleet::Fleet;
 
 /// Why a node did not start.
@@ -200,6 +202,9 @@
         departures: RefCell::default(),
         table: RefCell::new(Table::new(locality, rng.random())),
         budget: RefCell::new(budget),
+        usage: RefCell::new(settings.allowance.map(Book::new)),
+        customer_stats: RefCell::new(Stats::default()),
+        is_config_compared: Cell::new(false),
         route_stats: RefCell::new(StatsByRoute::default()),
         pool: Pool::new(clock),
         in_flight: InFlight::default(),
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -19,6 +19,8 @@
 use hyper::http::HeaderValue;
 
 use crate::breaks;
+use crate::customers;
+use crate::customers::Token;
 use crate::drive;
 use crate::exchange::CallerRequest;
 use crate::exchange::Reply;
@@ -33,6 +35,7 @@
 use crate::trace::Trace;
 use base::entity::Service;
 use base::time::Time;
+use customer::book::Customer;
 use gather::event;
 use gather::event::Cause;
 use gather::event::Outcome;
@@ -95,25 +98,36 @@
     let caller_timeout = request_headers.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let router = process.router.borrow().clone();
     let read_result = match router {
-        Some(router) => read::read(&router, &request_headers, caller_timeout, request).await,
-        None => Err(Rejection::NoConfig),
+        Some(router) => {
+            read::read(&process, &router, &request_headers, caller_timeout, request).await
+        }
+        None => Err(Rejection::NoConfig.into()),
     };
-    let AdmittedRequest { router, route, id, parts, body } = match read_result {
+    let AdmittedRequest { router, route, id, customer, parts, body } = match read_result {
         Ok(admitted) => admitted,
-        Err(rejection) => {
-            return rejection.into_answer(&process, request_headers.request_id.as_ref());
+        Err(rejected) => {
+            let id = request_headers.request_id.as_ref();
+            return rejected.why.into_answer(&process, id, rejected.customer.as_deref());
         }
     };
     let mut headers = parts.headers;
     remove_hop_by_hop(&mut headers);
+    // Afterwards, because a caller may name any header as one of its connection.
+    if router.customers.is_some() {
+        let name = customer.as_ref().map(|customer| customer.name.as_ref());
+        process.protocol.write_customer(&mut headers, name);
+    }
+    let leaves_reserve = leaves_reserve(&process, &route, customer.as_deref());
     let caller_request = Rc::new(CallerRequest {
         method: parts.method,
         uri: parts.uri,
         headers,
         body,
         id,
+        credential: request_headers.credential.filter(|_| router.customers.is_some()),
+        customer,
         caller_deadline: arrived + caller_timeout,
-        leaves_reserve: leaves_reserve(&process, &route),
+        leaves_reserve,
         may_be_passed_on: may_pass_on,
         possible_runs: Cell::new(0),
         answered: Cell::new(false),
@@ -142,13 +156,24 @@
     {
         return answer;
     }
+    let mut token = match customers::admit(process, &caller_request) {
+        Ok(token) => token,
+        Err(rejection) => {
+            let customer = caller_request.customer.as_deref();
+            return rejection.into_answer(process, Some(&caller_request.id), customer);
+        }
+    };
     breaks::begin(process, &caller_request);
     let mut trace = Trace::default();
     let request = Rc::clone(&caller_request);
     let response = drive::run(process, Machine::new(plan), request, stats, &mut trace).await;
     let Some(response) = response else {
+        drop(token);
         return pass_on().await.unwrap_or_else(refusal);
     };
+    if response.outcome == Outcome::NotRun {
+        token.take().into_iter().for_each(Token::give_back);
+    }
     // Its services may be lost without having been tried before.
     let found_no_server = response.outcome == Outcome::NotRun
         && response.missing.iter().all(|(_, cause)| *cause == Cause::NoServer);
@@ -159,6 +184,7 @@
     {
         return answer;
     }
+    customers::record(process, &caller_request, response.outcome != Outcome::NotRun);
     if !record_outcome(process, router, route, &caller_request, arrived, &response) {
         trace.log(process, &caller_request, arrived, route.objective);
     }
@@ -178,8 +204,9 @@
 
 /// Whether a request leaves a part of what limited servers take to more urgent ones. Some of the
 /// less urgent ones don't, so that they are not starved.
-fn leaves_reserve(process: &Process, route: &Route) -> bool {
-    !route.is_most_urgent && process.table.borrow_mut().random_fraction() < RESERVING_FRACTION
+fn leaves_reserve(process: &Process, route: &Route, customer: Option<&Customer>) -> bool {
+    !route.is_most_urgent(customer)
+        && process.table.borrow_mut().random_fraction() < RESERVING_FRACTION
 }
 
 /// Plans a request that arrived at `arrived`: its services, attempts and deadlines.
@@ -330,6 +357,7 @@
     log::info!(
         target: "request",
         id = caller_request.id.to_str().unwrap_or_default(),
+        customer = caller_request.customer.as_ref().map(|customer| customer.name.as_ref()),
         route = route.name.as_ref(),
         elapsed_ms = elapsed.as_millis() as u64,
         aim_ms = route.objective.as_millis() as u64,
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::customers;
 use crate::feed::Relation;
 use crate::members::Peer;
 use crate::process::ListedNodes;
@@ -368,7 +369,9 @@
     };
     log::info!(target: "config", version = config.version, before = current, routes = config.routes.len(); "A new version of the configuration is in use.");
     process.metrics.record_config_version(config.version);
-    *process.router.borrow_mut() = Some(Rc::new(router));
+    let router = Rc::new(router);
+    let before = process.router.replace(Some(Rc::clone(&router)));
+    customers::install(process, &router, before.as_deref());
     *process.config.borrow_mut() = Some(config.clone());
     update_shares(process);
 }
--- a/crates/version/customer/src/lib.rs
+++ b/crates/version/customer/src/lib.rs
@@ -2,5 +2,7 @@
 
 #![deny(missing_docs)]
 
+pub mod book;
 pub mod config;
 pub mod key;
+pub mod stats;
--- a/crates/version/site/src/router.rs
+++ b/crates/version/site/src/router.rs
@@ -12,6 +12,8 @@
 use crate::config::Target;
 use base::entity::Service;
 use base::region;
+use customer::book::Book;
+use customer::book::Customer;
 
 /// A route with its services resolved.
 #[derive(Clone, Debug)]
@@ -28,8 +30,9 @@
     pub objective: Duration,
     /// Its priority; zero is the most urgent.
     pub priority: u32,
-    /// Whether no route that uses one of its services has a higher priority.
-    pub is_most_urgent: bool,
+    /// The highest priority, that is the lowest number, of the routes to its services and of all
+    /// customers.
+    pub highest_priority: u32,
     /// The maximum number of servers of one service that may run a request; attempts
     /// that were certainly not run don't count.
     pub max_attempts: u32,
@@ -39,6 +42,18 @@
     pub public: bool,
 }
 
+impl Route {
+    /// The priority of a request: that of its customer, if it has one.
+    pub fn priority_of(&self, customer: Option<&Customer>) -> u32 {
+        customer.and_then(|customer| customer.priority).unwrap_or(self.priority)
+    }
+
+    /// Whether no request to one of its services may have a higher priority than this one.
+    pub fn is_most_urgent(&self, customer: Option<&Customer>) -> bool {
+        self.priority_of(customer) <= self.highest_priority
+    }
+}
+
 /// The services that answer a request.
 #[derive(Clone, Debug)]
 pub enum Fanout {
@@ -64,6 +79,8 @@
     pub version: u64,
     /// Limits on what a caller may send.
     pub limits: Limits,
+    /// The customers, one of which each request must name; `None` if requests name none.
+    pub customers: Option<Book>,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
 }
 
@@ -76,11 +93,12 @@
         mut resolve: impl FnMut(&Arc<str>) -> Service,
     ) -> Self {
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
+        let customers = config.customers.as_ref().map(|customers| Book::new(customers, regions));
+        let of_customers = customers.as_ref().and_then(Book::highest_priority);
         let highest = highest_priorities(config);
         for route in &config.routes {
-            let is_most_urgent = services_of(&route.target).all(|service| {
-                highest.get(service).is_none_or(|highest| route.priority <= *highest)
-            });
+            let of_services = services_of(&route.target).filter_map(|name| highest.get(name));
+            let highest_priority = of_services.copied().chain(of_customers).min();
             let resolved = Arc::new(Route {
                 name: Arc::clone(&route.name),
                 fanout: fanout(&route.target, &mut resolve),
@@ -88,7 +106,7 @@
                 timeout: route.timeout,
                 objective: route.objective,
                 priority: route.priority,
-                is_most_urgent,
+                highest_priority: highest_priority.unwrap_or(route.priority),
                 max_attempts: route.attempts.max(1),
                 homes: regions.homes(&route.homes),
                 public: route.public,
@@ -96,7 +114,7 @@
             let host = hosts.entry(Arc::clone(&route.host)).or_default();
             host.insert(Arc::clone(&route.prefix), resolved);
         }
-        Self { version: config.version, limits: config.limits, hosts }
+        Self { version: config.version, limits: config.limits, customers, hosts }
     }
 
     /// The greatest number of services that a request is sent to.
