--- a/crates/process/node/tests/lost_path.rs
+++ b/crates/process/node/tests/lost_path.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hyper::http::HeaderValue;
 use serde_json::json;
 
 use crate::deployed::Cluster;
@@ -26,7 +27,7 @@
 struct Pair {
     cluster: Cluster,
     // Each node needs its store for as long as it runs.
-    _store: Store,
+    store: Store,
     links: Vec<Link>,
     near: Node,
     far: Node,
@@ -51,7 +52,7 @@
         store.put("config", "main", &config(3, json!([])));
         let far = cluster.start_node_at(store.address(), &[near.caller_address]);
         far.wait_until_ready().await;
-        let pair = Self { cluster, _store: store, links, near, far };
+        let pair = Self { cluster, store, links, near, far };
         pair.wait_until_named(2).await;
         for path in ["/search/x", "/view/x"] {
             let answer = pair.far.send(request("first", "GET", path, "")).await;
@@ -197,3 +198,30 @@
     let runs = run_counts(pair.cluster.servers.iter());
     assert_eq!(runs.get("left"), None);
 }
+
+/// Guards against a key that is lost when a request is passed on, so that the other node refuses
+/// it, and against one that reaches a server.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_passed_on_with_its_key() {
+    let mut pair = Pair::start().await;
+    pair.refuse();
+    pair.wait_until_out_of_lookups().await;
+    let mut spec = config(4, json!([]));
+    spec["tenants"] = json!([{ "name": "mill", "api_keys": ["a-secret"], "rate_per_s": 100 }]);
+    for store in [&pair.cluster.store, &pair.store] {
+        store.put("config", "main", &spec);
+    }
+    for node in [&pair.near, &pair.far] {
+        let needs_key =
+            async || node.send(request("none", "GET", "/view/x", "")).await.status() == 401;
+        eventually("requests need a key", needs_key).await;
+    }
+    let mut keyed = request("keyed", "GET", "/view/x", "");
+    let key = HeaderValue::from_static("a-secret");
+    keyed.headers_mut().insert("heatherseam-credential", key);
+    assert_eq!(pair.far.send(keyed).await.status(), 200);
+    let runs = pair.cluster.servers_of("plain").flat_map(|server| server.runs());
+    let runs: Vec<_> = runs.filter(|run| run.id == "keyed").collect();
+    assert_eq!(runs.len(), 1);
+    assert!(runs[0].customer == "mill" && !runs[0].has_credential, "{:?}", runs[0]);
+}
