--- a/crates/version/customer/src/lib.rs
+++ b/crates/version/customer/src/lib.rs
@@ -2,6 +2,8 @@
 
 #![deny(missing_docs)]
 
+pub mod book;
 pub mod config;
 pub mod fair;
 pub mod key;
+pub mod stats;
