--- a/crates/process/share/src/limit.rs
+++ b/crates/process/share/src/limit.rs
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::common::Common;
 use base::time::Time;
 
 /// A node's part of a limit, in requests per second.
@@ -70,6 +71,8 @@
     promised: Time,
     /// This node's sends in the last [`REPORT_SPAN`], and whether each was an extra one.
     sends: VecDeque<(Time, bool)>,
+    /// The tokens that any node may use, beside those of this node.
+    common: Option<Common>,
 }
 
 impl Limit {
@@ -87,9 +90,25 @@
             demand: 0.0,
             promised: Time::ZERO,
             sends: VecDeque::new(),
+            common: None,
         }
     }
 
+    /// The same limit with tokens that any node may use, beside those of this node's part.
+    pub fn with_common(self, common: Common) -> Self {
+        Self { common: Some(common), ..self }
+    }
+
+    /// The tokens that any node may use.
+    pub fn common(&self) -> Option<&Common> {
+        self.common.as_ref()
+    }
+
+    /// The tokens that any node may use, to be changed.
+    pub fn common_mut(&mut self) -> Option<&mut Common> {
+        self.common.as_mut()
+    }
+
     /// When a reply last named it, to this node or to another one.
     pub fn heard_at(&self) -> Time {
         self.heard_at
@@ -144,6 +163,7 @@
     /// Whether a request may be sent now; less urgent ones leave a reserve.
     pub fn admits(&self, now: Time, leaves_reserve: bool) -> bool {
         self.tokens(now) >= self.needed(now, leaves_reserve)
+            || self.common.as_ref().is_some_and(|common| common.admits(now))
     }
 
     fn needed(&self, now: Time, leaves_reserve: bool) -> f64 {
@@ -154,7 +174,17 @@
     /// When a request may be sent, if none may now.
     pub fn admits_at(&self, now: Time) -> Option<Time> {
         let missing = 1.0 - self.tokens(now);
-        (missing > 0.0).then(|| now + self.time_of(now, missing))
+        if missing <= 0.0 {
+            return None;
+        }
+        let Some(common) = &self.common else { return Some(now + self.time_of(now, missing)) };
+        if common.admits(now) {
+            return None;
+        }
+        // Without a part of its own, only the common tokens can admit the request.
+        let own = (self.rate(now) > 0.0).then(|| now + self.time_of(now, missing));
+        let earliest = own.into_iter().chain(common.admits_at(now)).min();
+        Some(earliest.unwrap_or(now + NO_QUOTA_DELAY))
     }
 
     /// The time in which so many tokens come.
@@ -167,7 +197,11 @@
     /// before it.
     pub fn promise(&mut self, now: Time) -> Time {
         let earliest = self.admits_at(now).unwrap_or(now);
-        let next = self.promised + self.time_of(now, 1.0);
+        let interval = match &self.common {
+            Some(common) => common.interval().min(MAX_SPREAD),
+            None => self.time_of(now, 1.0),
+        };
+        let next = self.promised + interval;
         self.promised = if next > now + MAX_SPREAD { earliest } else { next.max(earliest) };
         self.promised
     }
@@ -175,11 +209,21 @@
     /// Spends the token of a request.
     pub fn take(&mut self, now: Time) {
         self.fill(now);
+        if let Some(common) = &mut self.common {
+            common.take(now);
+            if self.tokens < 1.0 {
+                return;
+            }
+        }
         self.tokens -= 1.0;
     }
 
     /// Returns the token of a request that was not sent.
     pub fn give_back(&mut self, now: Time) {
+        // A token of the share is not renewed: which of the two admitted the request is not kept.
+        if let Some(common) = &mut self.common {
+            return common.give_back(now);
+        }
         self.fill(now);
         self.tokens += 1.0;
     }
--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -1,14 +1,27 @@
 //! The use of customers' rates: the messages and the book of all keys. No I/O.
 //!
-//! Invariant: over all nodes, no window admits more than [`Bound::requests`].
+//! A request is admitted from this node's share or from the common bucket, see
+//! [`crate::common`]. Keys without recent use are in no queue, and their entries are brought up to
+//! date only when they are used again.
+//!
+//! Invariant: over all nodes, no window admits more than [`Bound::requests`], also where nodes
+//! don't hear each other: their shares add up to the rate.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::net::IpAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::bound::Bound;
+use crate::common::Access;
+use crate::common::Common;
+use crate::common::REPORT_DELAY;
+use crate::limit::Limit;
+use crate::limit::Quota;
 use base::time::Time;
 
 /// What a node reports of one key.
@@ -55,18 +68,158 @@
     fn others(&self) -> Vec<Peer>;
 }
 
+/// The maximum number of keys in one report: each takes at most 21 bytes in MessagePack, and a
+/// datagram has 1,400.
+pub const MAX_USAGES: usize = 64;
+/// The minimum interval between two reports.
+pub const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval of reports that are not urgent: that of heartbeats.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// How often a count is sent, since datagrams are lost.
+const SENDS: u32 = 3;
+/// Without a call of [`Book::divide`] for so long, the process was frozen: three heartbeats.
+const MAX_DIVIDE_INTERVAL: Duration = Duration::from_millis(1200);
+/// How long a node that has just started, or hears the others again, takes their levels.
+const LEARNING_TIME: Duration = Duration::from_millis(1000);
+/// How long a node counts as using a key after its last use.
+const ACTIVE_TIME: Duration = Duration::from_millis(1500);
+/// How long the counts of a key are kept after its last use at any node.
+const KEPT_TIME: Duration = Duration::from_secs(60);
+/// The shares of all nodes together keep the tokens of this fraction of the tolerance.
+const SHARE_FRACTION: f64 = 0.5;
+/// The tokens that a small share keeps, see [`crate::limit::burst`].
+const MIN_SHARE_TOKENS: f64 = 2.0;
+/// The unreported requests that a standby node may start with.
+const STANDBY_LEVEL: f64 = 2.0;
+
+/// What another node has reported of a key.
+#[derive(Clone, Copy, Debug)]
+struct Count {
+    node: IpAddr,
+    incarnation: u64,
+    used: u32,
+    demand: f64,
+    /// When a report last had a new count.
+    used_at: Time,
+    /// When it began to use the key after a time without use.
+    active_since: Time,
+}
+
+impl Count {
+    fn is_active(&self, now: Time) -> bool {
+        now.since(self.used_at) < ACTIVE_TIME
+    }
+}
+
+/// What is known of one key.
 #[derive(Clone, Debug)]
 struct Entry {
     rate: Rate,
-    tokens: f64,
-    filled_at: Time,
+    limit: Limit,
+    /// This node's count, see [`Usage::used`].
+    used: u32,
+    /// When this node last admitted or refused a request, and since when it does so.
+    used_at: Option<Time>,
+    active_since: Time,
+    counts: Vec<Count>,
+    /// The division that this entry's share and access are of.
+    divided: Option<u64>,
+    /// This node's share of the rate and that of all silent nodes, as fractions.
+    fractions: (f64, f64),
+    /// How often the present count is still to be sent.
+    sends_left: u32,
+    is_queued: bool,
 }
 
 impl Entry {
-    fn fill(&mut self, now: Time) {
-        let added = self.rate.per_second * now.since(self.filled_at).as_secs_f64();
-        self.tokens = (self.tokens + added).min(self.rate.burst.max(1.0));
-        self.filled_at = now;
+    fn new(now: Time, rate: Rate, tolerance: f64) -> Self {
+        let common = Common::new(now, rate, tolerance);
+        Self {
+            rate,
+            limit: Limit::new(now, now, rate.per_second).with_common(common),
+            used: 0,
+            used_at: None,
+            active_since: now,
+            counts: Vec::new(),
+            divided: None,
+            fractions: (0.0, 0.0),
+            sends_left: 0,
+            is_queued: false,
+        }
+    }
+
+    fn is_active(&self, now: Time) -> bool {
+        self.used_at.is_some_and(|at| now.since(at) < ACTIVE_TIME)
+    }
+
+    /// Marks a use by this node; returns whether it is the first one in a while.
+    fn mark_use(&mut self, now: Time) -> bool {
+        let is_first = !self.is_active(now);
+        if is_first {
+            self.active_since = now;
+        }
+        self.used_at = Some(now);
+        is_first
+    }
+
+    /// When this node or another one last used it.
+    fn last_use(&self) -> Option<Time> {
+        self.counts.iter().map(|count| count.used_at).chain(self.used_at).max()
+    }
+
+    fn lower(&mut self, now: Time, level: f64) {
+        if let Some(common) = self.limit.common_mut() {
+            common.lower(now, level);
+        }
+    }
+}
+
+/// The nodes, as of the last division.
+#[derive(Clone, Debug, Default)]
+struct Nodes {
+    is_serving: bool,
+    /// The hashes of this node's address, of those of all serving nodes and of the silent ones.
+    own: u64,
+    hashes: Vec<u64>,
+    silent: Vec<u64>,
+    /// Whether this node hears half of the others.
+    is_connected: bool,
+    divided_at: Option<Time>,
+    /// Since when it hears them, or its start.
+    learning_since: Time,
+    /// The number of divisions.
+    number: u64,
+}
+
+impl Nodes {
+    /// Whether the common buckets may be used: always where there is no fleet.
+    fn is_open(&self, now: Time) -> bool {
+        self.divided_at.is_none_or(|at| self.is_connected && now.since(at) < MAX_DIVIDE_INTERVAL)
+    }
+
+    fn is_learning(&self, now: Time) -> bool {
+        now.since(self.learning_since) < LEARNING_TIME
+    }
+
+    fn count(&self) -> usize {
+        self.hashes.len().max(1)
+    }
+
+    /// The share of `own` in a key's rate, as a fraction, and that of all silent nodes.
+    fn fractions(&self, key: u32, tolerance: f64) -> (f64, f64) {
+        let most = (tolerance * SHARE_FRACTION / MIN_SHARE_TOKENS) as usize;
+        let holders = self.count().min(most.max(1));
+        let fraction = 1.0 / holders as f64;
+        if holders == self.count() {
+            return (fraction, fraction * self.silent.len() as f64);
+        }
+        let ranks = || self.hashes.iter().map(|hash| rank(*hash, key));
+        let holds = |hash: u64| {
+            let own = rank(hash, key);
+            ranks().filter(|other| *other < own).count() < holders
+        };
+        let silent = self.silent.iter().filter(|hash| holds(**hash)).count();
+        (if holds(self.own) { fraction } else { 0.0 }, fraction * silent as f64)
     }
 }
 
@@ -75,66 +228,279 @@
 pub struct Book {
     bound: Bound,
     entries: HashMap<u32, Entry>,
+    nodes: Nodes,
+    /// The keys that were used a short time ago, here or at other nodes.
+    active: HashSet<u32>,
+    /// The keys whose present count was not sent yet, and those whose count is to be repeated.
+    fresh: VecDeque<u32>,
+    repeated: VecDeque<u32>,
+    is_urgent: bool,
+    reported_at: Option<Time>,
+    /// When the last report that was not urgent began, and what is left of it.
+    round_at: Option<Time>,
+    round_left: usize,
 }
 
 impl Book {
     /// A book without keys; `bound` holds for each key over all nodes.
     pub fn new(bound: Bound) -> Self {
-        Self { bound, entries: HashMap::new() }
+        Self {
+            bound,
+            entries: HashMap::new(),
+            nodes: Nodes::default(),
+            active: HashSet::new(),
+            fresh: VecDeque::new(),
+            repeated: VecDeque::new(),
+            is_urgent: false,
+            reported_at: None,
+            round_at: None,
+            round_left: 0,
+        }
     }
 
     /// Sets the rate of a key, new or known.
     pub fn set_rate(&mut self, now: Time, key: u32, rate: Rate) {
-        let start = self.bound.tolerance(rate.per_second, rate.burst) / 2.0;
-        let entry = self.entries.entry(key).or_insert(Entry {
-            rate,
-            tokens: start.min(rate.burst),
-            filled_at: now,
-        });
-        entry.fill(now);
+        let tolerance = self.bound.tolerance(rate.per_second, rate.burst);
+        let entry = self.entries.entry(key).or_insert_with(|| Entry::new(now, rate, tolerance));
         entry.rate = rate;
-        entry.fill(now);
+        entry.divided = None;
+        entry.limit.per_second = rate.per_second;
+        if let Some(common) = entry.limit.common_mut() {
+            common.set_rate(now, rate, tolerance);
+        }
+        refresh(&self.nodes, &self.bound, now, key, entry);
     }
 
     /// Removes a key; its requests are admitted without a limit.
     pub fn remove(&mut self, key: u32) {
         self.entries.remove(&key);
+        self.active.remove(&key);
+        self.fresh.retain(|queued| *queued != key);
+        self.repeated.retain(|queued| *queued != key);
+    }
+
+    /// The keys that have a rate.
+    pub fn keys(&self) -> impl Iterator<Item = u32> {
+        self.entries.keys().copied()
+    }
+
+    /// Whether no key has a rate.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
     }
 
     /// Lets a request in and takes its token, or says when there is room. A key without a rate
     /// has no limit.
     pub fn take(&mut self, now: Time, key: u32) -> Result<(), Time> {
         let Some(entry) = self.entries.get_mut(&key) else { return Ok(()) };
-        entry.fill(now);
-        if entry.tokens >= 1.0 {
-            entry.tokens -= 1.0;
-            return Ok(());
+        let is_open = self.nodes.is_open(now);
+        let was_known = entry.last_use().is_some_and(|at| now.since(at) < KEPT_TIME);
+        let is_first = entry.mark_use(now);
+        self.active.insert(key);
+        if is_first && !self.nodes.is_serving && self.nodes.divided_at.is_some() && !was_known {
+            entry.lower(now, STANDBY_LEVEL);
         }
-        let seconds = (1.0 - entry.tokens) / entry.rate.per_second;
-        Err(now + std::time::Duration::from_secs_f64(seconds.clamp(0.0, 60.0)))
+        // A frozen process may be called before `divide`.
+        if is_first || entry.divided != Some(self.nodes.number) || !is_open {
+            refresh(&self.nodes, &self.bound, now, key, entry);
+        }
+        entry.limit.ask();
+        if !entry.limit.admits(now, false) {
+            return Err(entry.limit.promise(now));
+        }
+        entry.limit.take(now);
+        entry.used = entry.used.wrapping_add(1);
+        let is_urgent = is_first
+            || entry.limit.common().is_some_and(|common| common.is_urgent(now, REPORT_INTERVAL));
+        self.queue(key, is_urgent);
+        Ok(())
     }
 
     /// Returns the token of a request that has not run.
     pub fn give_back(&mut self, now: Time, key: u32) {
-        if let Some(entry) = self.entries.get_mut(&key) {
-            entry.fill(now);
-            entry.tokens += 1.0;
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.limit.give_back(now);
+        entry.used = entry.used.wrapping_sub(1);
+        self.queue(key, false);
+    }
+
+    fn queue(&mut self, key: u32, is_urgent: bool) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.sends_left = SENDS;
+        if !entry.is_queued {
+            entry.is_queued = true;
+            self.fresh.push_back(key);
         }
+        self.is_urgent |= is_urgent;
     }
 
     /// Whether [`Self::report`] should be called now.
-    pub fn is_report_due(&self, _now: Time) -> bool {
-        false
+    pub fn is_report_due(&self, now: Time) -> bool {
+        let is_after = |at: Option<Time>, span| at.is_none_or(|at| now.since(at) >= span);
+        let has_counts = !self.fresh.is_empty() || !self.repeated.is_empty();
+        has_counts
+            && is_after(self.reported_at, MIN_REPORT_INTERVAL)
+            && (self.is_urgent || self.round_left > 0 || is_after(self.round_at, REPORT_INTERVAL))
     }
 
     /// What to tell the other nodes: at most as much as one datagram holds.
-    pub fn report(&mut self, _now: Time) -> Vec<Usage> {
-        Vec::new()
+    pub fn report(&mut self, now: Time) -> Vec<Usage> {
+        if self.round_left == 0 && self.round_at.is_none_or(|at| now.since(at) >= REPORT_INTERVAL) {
+            self.round_at = Some(now);
+            self.round_left = self.fresh.len() + self.repeated.len();
+        }
+        self.reported_at = Some(now);
+        let mut keys: Vec<u32> = Vec::new();
+        let fresh = self.fresh.len().min(MAX_USAGES);
+        keys.extend(self.fresh.drain(..fresh));
+        let repeated = self.repeated.len().min(self.round_left).min(MAX_USAGES - fresh);
+        keys.extend(self.repeated.drain(..repeated));
+        self.round_left = self.round_left.saturating_sub(keys.len());
+        if self.fresh.is_empty() {
+            self.is_urgent = false;
+        }
+        let mut usages = Vec::with_capacity(keys.len());
+        for key in keys {
+            let Some(entry) = self.entries.get_mut(&key) else { continue };
+            let demand = entry.limit.demand() as f32;
+            let Some(common) = entry.limit.common_mut() else { continue };
+            common.reported();
+            let level = common.level(now) as f32;
+            usages.push(Usage { key, used: entry.used, demand, level });
+            entry.is_queued = false;
+            entry.sends_left = entry.sends_left.saturating_sub(1);
+            if entry.sends_left > 0 && !self.repeated.contains(&key) {
+                self.repeated.push_back(key);
+            }
+        }
+        usages
     }
 
     /// Takes in the report of another node; `incarnation` is a random number of its process.
-    pub fn on_report(&mut self, _now: Time, _node: IpAddr, _incarnation: u64, _usage: &[Usage]) {}
+    pub fn on_report(&mut self, now: Time, node: IpAddr, incarnation: u64, usage: &[Usage]) {
+        let is_learning = self.nodes.is_learning(now);
+        for reported in usage {
+            let Some(entry) = self.entries.get_mut(&reported.key) else { continue };
+            self.active.insert(reported.key);
+            let level = f64::from(reported.level);
+            let count = Count {
+                node,
+                incarnation,
+                used: reported.used,
+                demand: f64::from(reported.demand).clamp(0.0, MAX_DEMAND),
+                used_at: now,
+                active_since: now,
+            };
+            let known = entry.counts.iter_mut().find(|known| known.node == node);
+            let was_known = known.is_some();
+            let tokens = match known {
+                Some(known) => {
+                    let before = if known.incarnation == incarnation { known.used } else { 0 };
+                    let is_new = reported.used != before;
+                    let (was_active, since) = (known.is_active(now), known.active_since);
+                    let used_at = if is_new { now } else { known.used_at };
+                    let active_since = if was_active { since } else { now };
+                    *known = Count { used_at, active_since, ..count };
+                    difference(reported.used, before)
+                }
+                None => {
+                    entry.counts.push(count);
+                    // What the node used before this one knew it is in the level that it reports.
+                    if is_learning { 0.0 } else { f64::from(reported.used).min(1.0) }
+                }
+            };
+            if let Some(common) = entry.limit.common_mut() {
+                common.take_reported(now, tokens);
+                if level.is_finite() && (is_learning || !was_known) {
+                    common.lower(now, level);
+                }
+            }
+            refresh(&self.nodes, &self.bound, now, reported.key, entry);
+        }
+    }
 
     /// Decides this node's parts again; called with each heartbeat.
-    pub fn divide(&mut self, _now: Time, _fleet: &dyn Fleet) {}
+    pub fn divide(&mut self, now: Time, fleet: &dyn Fleet) {
+        let nodes = &mut self.nodes;
+        let others = fleet.others();
+        let present = others.iter().filter(|peer| peer.is_present).count();
+        let is_connected = 2 * present >= others.len();
+        let was_open = nodes.is_open(now);
+        if nodes.divided_at.is_none() || is_connected && !was_open {
+            nodes.learning_since = now;
+            self.entries.values_mut().for_each(|entry| {
+                if let Some(common) = entry.limit.common_mut() {
+                    common.start_again(now);
+                }
+            });
+        }
+        let hash = |ip: IpAddr| base::hash::stable(0, &[&ip.to_string()]);
+        nodes.own = hash(fleet.own());
+        nodes.is_serving = fleet.is_serving();
+        nodes.is_connected = is_connected;
+        nodes.divided_at = Some(now);
+        nodes.number += 1;
+        nodes.hashes = others.iter().map(|peer| hash(peer.ip)).collect();
+        if nodes.is_serving {
+            nodes.hashes.push(nodes.own);
+        }
+        nodes.silent =
+            others.iter().filter(|peer| !peer.is_present).map(|peer| hash(peer.ip)).collect();
+        let (nodes, bound, entries) = (&self.nodes, &self.bound, &mut self.entries);
+        self.active.retain(|key| {
+            let Some(entry) = entries.get_mut(key) else { return false };
+            entry.limit.meter(now);
+            refresh(nodes, bound, now, *key, entry);
+            let is_kept = entry.last_use().is_some_and(|at| now.since(at) < KEPT_TIME);
+            if !is_kept {
+                entry.counts = Vec::new();
+            }
+            is_kept
+        });
+    }
+}
+
+/// The order in which nodes hold a share of a key; a finalizer that changes all bits.
+fn rank(node: u64, key: u32) -> u64 {
+    let mixed = (node ^ u64::from(key)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ mixed >> 32).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+/// The greatest demand that a report may state, in requests per second.
+const MAX_DEMAND: f64 = 1e6;
+
+/// The requests between two counts, which wrap around and may fall.
+fn difference(used: u32, before: u32) -> f64 {
+    f64::from(used.wrapping_sub(before).cast_signed())
+}
+
+/// Decides again this node's share of a key and its access to the common bucket.
+fn refresh(nodes: &Nodes, bound: &Bound, now: Time, key: u32, entry: &mut Entry) {
+    let rate = entry.rate;
+    if entry.divided != Some(nodes.number) {
+        let tolerance = bound.tolerance(rate.per_second, rate.burst);
+        entry.fractions = nodes.fractions(key, tolerance);
+        entry.divided = Some(nodes.number);
+    }
+    let (own, silent) = entry.fractions;
+    let has_share = nodes.is_serving && !nodes.is_learning(now);
+    let even = if has_share { rate.per_second * own } else { 0.0 };
+    entry.limit.set_quota(now, Quota { even, most: even });
+    let active = entry.counts.iter().filter(|count| count.is_active(now));
+    let (users, others_demand) =
+        active.fold((1, 0.0), |(users, demand), count| (users + 1, demand + count.demand));
+    let is_new = now.since(entry.active_since) < REPORT_DELAY;
+    let competitors = if is_new { nodes.count().max(users) } else { users };
+    let demand = entry.limit.demand();
+    let all = demand + others_demand;
+    let access = Access {
+        is_open: nodes.is_open(now),
+        weight: 1.0 / competitors as f64,
+        demand_fraction: if all > 0.0 { (demand / all).max(1.0 / users as f64 / 4.0) } else { 1.0 },
+        others_demand,
+        refill: 1.0 - silent,
+    };
+    if let Some(common) = entry.limit.common_mut() {
+        common.set_access(now, access);
+    }
 }
