share, entry: customers' rates over all nodes, and the datagrams that report their use

Limits may have a common bucket besides a node's share; share::usage keeps one for each key. Nothing is sent unless a customer has a rate.

--- a/crates/process/entry/src/heartbeat.rs
+++ b/crates/process/entry/src/heartbeat.rs
@@ -16,6 +16,7 @@
 use crate::pace::Pace;
 use crate::process::Process;
 use crate::serving::Own;
+use crate::usage;
 use crate::watcher;
 use base::time::Time;
 use share::part;
@@ -46,6 +47,7 @@
         process.slowness.set((pace.slowness() * 100.0) as u32);
         update_role(&process);
         limits::divide(&process);
+        usage::divide(&*process);
         if number % LIMIT_REPORT_INTERVALS == 0 {
             limits::report(&process);
         }
@@ -153,6 +155,9 @@
                 continue;
             }
         };
+        if usage::on_datagram(&*process, from, &buffer[..length]) {
+            continue;
+        }
         if notices::on_datagram(&process, from, &buffer[..length]) {
             continue;
         }
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod settings;
 pub mod shares;
 pub mod source;
+pub mod usage;
 
 mod admin;
 mod breaks;
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -47,6 +47,8 @@
     registry_revision: Gauge<u64>,
     config_version: Gauge<u64>,
     ignored_batches: Counter<u64>,
+    usage_datagrams: Counter<u64>,
+    usage_bytes: Counter<u64>,
 }
 
 impl Metrics {
@@ -79,6 +81,8 @@
             registry_revision: meter.u64_gauge("heatherseam_registry_revision").build(),
             config_version: meter.u64_gauge("heatherseam_version_in_use").build(),
             ignored_batches: meter.u64_counter("heatherseam_registry_ignored").build(),
+            usage_datagrams: meter.u64_counter("heatherseam_usage_datagrams").build(),
+            usage_bytes: meter.u64_counter("heatherseam_usage_bytes").build(),
             _provider: provider,
         })
     }
@@ -176,6 +180,12 @@
         self.ignored_batches.add(1, &[KeyValue::new("kind", kind.name())]);
     }
 
+    /// Counts datagrams with the use of customers' rates, and their bytes together.
+    pub(crate) fn record_usage(&self, datagrams: usize, bytes: usize) {
+        self.usage_datagrams.add(datagrams as u64, &[]);
+        self.usage_bytes.add(bytes as u64, &[]);
+    }
+
     /// All metrics in the text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = Vec::new();
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -37,6 +37,8 @@
 use crate::source::Selector;
 use crate::source::Source;
 use crate::upstream::Pool;
+use crate::usage;
+use crate::usage::Context;
 use base::entity::Server;
 use base::time::Time;
 use poison::ledger::Ledger;
@@ -82,6 +84,8 @@
     pub(crate) role: RefCell<Role>,
     /// This node's present shares of the limits.
     pub(crate) shares: Cell<Shares>,
+    /// The use of the customers' rates.
+    pub(crate) usage: usage::State,
     /// The registry's newest era.
     pub(crate) era: RefCell<era::Tracker>,
     /// Notified when it rises.
@@ -256,6 +260,36 @@
     }
 }
 
+impl Context for Process {
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn usage(&self) -> &usage::State {
+        &self.usage
+    }
+
+    fn members(&self) -> &RefCell<Members> {
+        &self.members
+    }
+
+    fn shares(&self) -> Shares {
+        self.shares.get()
+    }
+
+    fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    fn peer_port(&self) -> u16 {
+        self.settings.peer_port
+    }
+
+    fn sent(&self, datagrams: usize, bytes: usize) {
+        self.metrics.record_usage(datagrams, bytes);
+    }
+}
+
 /// The number of batches that are kept for the nodes that follow this one; only the newest
 /// configuration is of use.
 const KEPT_CONFIG_BATCHES: usize = 1;
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -49,6 +49,7 @@
 use crate::source::Selector;
 use crate::source::Source;
 use crate::upstream::Pool;
+use crate::usage;
 use crate::watcher;
 use base::time::Time;
 use poison::ledger::Ledger;
@@ -135,6 +136,7 @@
     spawn_local(relay::follow(Rc::clone(&process)));
     spawn_local(heartbeat::send(Rc::clone(&process), Rc::clone(&socket)));
     spawn_local(notices::send(Rc::clone(&process), Rc::clone(&socket)));
+    spawn_local(usage::send(Rc::clone(&process), Rc::clone(&socket)));
     spawn_local(heartbeat::receive(Rc::clone(&process), socket));
 
     let mut last = Ok(process.settings.clone());
@@ -212,6 +214,7 @@
         members: RefCell::new(members),
         role: RefCell::new(Role::default()),
         shares: Cell::new(shares),
+        usage: usage::State::new(settings.allowance),
         era: RefCell::new(era::Tracker::default()),
         era_risen: Notify::new(),
         feeds: RefCell::new(Feeds::new()),
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -29,6 +29,7 @@
 use crate::revision::Revision;
 use crate::shares::Shares;
 use crate::source::Source;
+use crate::usage;
 use site::config::Config;
 use site::fleet;
 use site::fleet::Change;
@@ -370,6 +371,7 @@
     process.metrics.record_config_version(config.version);
     *process.router.borrow_mut() = Some(Rc::new(router));
     *process.config.borrow_mut() = Some(config.clone());
+    usage::install(process, config.customers.as_ref());
     update_shares(process);
 }
 
--- /dev/null
+++ b/crates/process/entry/tests/usage_exchange.rs
@@ -0,0 +1,167 @@
+//! The exchange of the use of customers' rates, between two nodes over loopback.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::support::heartbeat;
+use crate::support::members;
+use base::time::Time;
+use customer::config::Customer;
+use customer::config::Customers;
+use customer::key::Salt;
+use entry::clock::Clock;
+use entry::members::Members;
+use entry::members::Peer;
+use entry::shares::Shares;
+use entry::usage;
+use entry::usage::Context;
+use entry::usage::State;
+use share::bound::Bound;
+
+mod support;
+
+const BOUND: Bound = Bound { window: Duration::from_secs(5), factor: 1.1, slack: 20.0 };
+
+struct Node {
+    clock: Clock,
+    usage: State,
+    members: RefCell<Members>,
+    port: u16,
+    datagrams: Cell<usize>,
+}
+
+impl Context for Node {
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn usage(&self) -> &State {
+        &self.usage
+    }
+
+    fn members(&self) -> &RefCell<Members> {
+        &self.members
+    }
+
+    fn shares(&self) -> Shares {
+        Shares { serving: true, serving_nodes: 2, standby_nodes: 0 }
+    }
+
+    fn incarnation(&self) -> u64 {
+        u64::from(self.port)
+    }
+
+    fn peer_port(&self) -> u16 {
+        self.port
+    }
+
+    fn sent(&self, datagrams: usize, _bytes: usize) {
+        self.datagrams.set(self.datagrams.get() + datagrams);
+    }
+}
+
+/// Node `number` and its socket; runs until the test ends.
+async fn start(number: usize, port: u16, customers: Option<&Customers>) -> (Rc<Node>, u16) {
+    let peers = [1, 2].map(|last| Peer {
+        ip: IpAddr::from([127, 0, 0, last]),
+        data_centre: Arc::from("hall-a"),
+        capacity: 1000,
+    });
+    let socket = Rc::new(UdpSocket::bind((peers[number].ip, port)).await.expect("a socket"));
+    let port = socket.local_addr().expect("an address").port();
+    let mut members = members(&peers[number]);
+    let other = &peers[1 - number];
+    members.on_heartbeat(Time::from_millis(0), other.ip, heartbeat(other, 1));
+    let node = Rc::new(Node {
+        clock: Clock::new(),
+        usage: State::new(Some(BOUND)),
+        members: RefCell::new(members),
+        port,
+        datagrams: Cell::new(0),
+    });
+    usage::install(&*node, customers);
+    spawn_local(usage::send(Rc::clone(&node), Rc::clone(&socket)));
+    let receiver = Rc::clone(&node);
+    spawn_local(async move {
+        let mut buffer = [0; 1400];
+        while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
+            assert!(usage::on_datagram(&*receiver, from, &buffer[..length]));
+        }
+    });
+    (node, port)
+}
+
+fn customers(rate_per_second: f64) -> Customers {
+    let customer = Customer {
+        name: Arc::from("rowan"),
+        keys: Vec::new(),
+        priority: None,
+        rate_per_second,
+        burst: 5.0,
+        homes: Vec::new(),
+    };
+    Customers { salt: Salt::random(), customers: vec![customer] }
+}
+
+fn admitted(node: &Node) -> usize {
+    let key = share::usage::key("rowan");
+    (0..100).filter(|_| usage::take(node, key).is_ok()).count()
+}
+
+/// Guards against nodes that don't hear of each other's use: without it, both admit the burst.
+#[tokio::test]
+async fn shared_level() {
+    let run = async {
+        let customers = customers(0.5);
+        let (first, port) = start(0, 0, Some(&customers)).await;
+        let (second, _) = start(1, port, Some(&customers)).await;
+        let before = admitted(&first);
+        assert!(before >= 5, "{before}");
+        sleep(Duration::from_millis(200)).await;
+        let after = admitted(&second);
+        assert!(after < before, "{before} {after}");
+        assert!(first.datagrams.get() > 0);
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against datagrams and limits in a deployment whose customers have no rates.
+#[tokio::test]
+async fn customers_without_rates() {
+    let run = async {
+        for customers in [None, Some(customers(0.0))] {
+            let (node, _) = start(0, 0, customers.as_ref()).await;
+            assert_eq!(admitted(&node), 100);
+            sleep(Duration::from_millis(100)).await;
+            assert_eq!(node.datagrams.get(), 0);
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a heartbeat or a notice being taken for usage, and usage for either of them.
+#[test]
+fn distinct_marks() {
+    let node = Node {
+        clock: Clock::new(),
+        usage: State::new(Some(BOUND)),
+        members: RefCell::new(members(&support::peer(0, 0, 1000))),
+        port: 1,
+        datagrams: Cell::new(0),
+    };
+    let from = ([127, 0, 0, 1], 1).into();
+    let beat = rmp_serde::to_vec(&heartbeat(&support::peer(0, 1, 1000), 1)).expect("a heartbeat");
+    assert!(!usage::on_datagram(&node, from, &beat));
+    assert!(!usage::on_datagram(&node, from, &[0xc1, 0x90]));
+    assert!(usage::on_datagram(&node, from, &[0xc1, 0xc1, 0x92, 0x01, 0x90]));
+    assert!(rmp_serde::from_slice::<Vec<u8>>(&[0xc1, 0x92]).is_err());
+}
--- a/crates/process/share/src/common.rs
+++ b/crates/process/share/src/common.rs
@@ -15,6 +15,9 @@
 /// The fraction of the tolerance for requests that nodes have not reported; the rest is for the
 /// tokens that their shares keep.
 const UNREPORTED_FRACTION: f64 = 0.5;
+/// The fraction of the tolerance by which a request may exceed the rate: reports and tokens that
+/// are given back are known late, and load within the rate must not be refused for that.
+const OVERDRAFT_FRACTION: f64 = 0.25;
 /// A report takes about this long until it counts: the interval between two datagrams and the time
 /// on the network.
 pub(crate) const REPORT_DELAY: Duration = Duration::from_millis(100);
@@ -30,10 +33,15 @@
     pub is_open: bool,
     /// Its part of the requests that may be unreported over all nodes.
     pub weight: f64,
+    /// The requests that it may have unreported even if its part is smaller.
+    pub least: f64,
     /// Its part of the requests that all nodes admit, at which those that it refused return.
     pub demand_fraction: f64,
     /// The requests per second of the other nodes.
     pub others_demand: f64,
+    /// Whether its level may miss requests of others, because it has just started or did not hear
+    /// them.
+    pub is_learning: bool,
     /// The fraction of the rate that is not kept for silent nodes.
     pub refill: f64,
 }
@@ -56,8 +64,10 @@
         let access = Access {
             is_open: true,
             weight: 1.0,
+            least: 1.0,
             demand_fraction: 1.0,
             others_demand: 0.0,
+            is_learning: false,
             refill: 1.0,
         };
         let mut common =
@@ -106,13 +116,17 @@
     /// The requests that this node may have unreported.
     fn allowance(&self, now: Time) -> f64 {
         let left = self.level(now) + self.tolerance * UNREPORTED_FRACTION;
-        (left * self.access.weight).max(1.0)
+        (left * self.access.weight).max(self.access.least.min(left)).max(1.0)
     }
 
-    /// The level below which the others' requests of the last moment may exceed the tolerance.
+    /// The level that a request must leave: below zero by the overdraft, above it where the others'
+    /// requests of the last moment may exceed what else the tolerance leaves.
     fn margin(&self) -> f64 {
         let recent = self.access.others_demand * REPORT_DELAY.as_secs_f64();
-        (recent - self.tolerance * UNREPORTED_FRACTION).clamp(0.0, self.rate.burst / 2.0)
+        let fraction = if self.access.is_learning { 0.0 } else { OVERDRAFT_FRACTION };
+        let overdraft = self.tolerance * fraction;
+        let covered = self.tolerance * UNREPORTED_FRACTION - overdraft;
+        -overdraft + (recent - covered).clamp(0.0, overdraft + self.rate.burst / 2.0)
     }
 
     /// Whether a request may be admitted now.
--- a/crates/process/share/src/limit.rs
+++ b/crates/process/share/src/limit.rs
@@ -45,6 +45,8 @@
 const NO_QUOTA_DELAY: Duration = Duration::from_secs(1);
 /// The longest time over which refused requests are spread.
 const MAX_SPREAD: Duration = Duration::from_secs(3);
+/// The same where there are common tokens: small rates take longer to admit those that return.
+const MAX_COMMON_SPREAD: Duration = Duration::from_secs(10);
 
 /// The tokens that are kept at `rate`.
 pub fn burst(rate: f64) -> f64 {
@@ -197,12 +199,12 @@
     /// before it.
     pub fn promise(&mut self, now: Time) -> Time {
         let earliest = self.admits_at(now).unwrap_or(now);
-        let interval = match &self.common {
-            Some(common) => common.interval().min(MAX_SPREAD),
-            None => self.time_of(now, 1.0),
+        let (interval, spread) = match &self.common {
+            Some(common) => (common.interval(), MAX_COMMON_SPREAD),
+            None => (self.time_of(now, 1.0), MAX_SPREAD),
         };
         let next = self.promised + interval;
-        self.promised = if next > now + MAX_SPREAD { earliest } else { next.max(earliest) };
+        self.promised = if next > now + spread { earliest } else { next.max(earliest) };
         self.promised
     }
 
--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -38,6 +38,11 @@
     pub level: f32,
 }
 
+/// The key of a customer, the same on all nodes.
+pub fn key(name: &str) -> u32 {
+    base::hash::stable(0, &[name]) as u32
+}
+
 /// What a customer may use over all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rate {
@@ -85,6 +90,11 @@
 const ACTIVE_TIME: Duration = Duration::from_millis(1500);
 /// How long the counts of a key are kept after its last use at any node.
 const KEPT_TIME: Duration = Duration::from_secs(60);
+/// A node that begins to use a key, while the fleet's demand is below the rate, may have the requests
+/// of so much time unreported: twice the interval of reports, since requests come unevenly.
+const NEW_USE: Duration = Duration::from_millis(100);
+/// The maximum number of nodes whose counts of a key are kept.
+const MAX_NODES: usize = 512;
 /// The shares of all nodes together keep the tokens of this fraction of the tolerance.
 const SHARE_FRACTION: f64 = 0.5;
 /// The tokens that a small share keeps, see [`crate::limit::burst`].
@@ -387,7 +397,7 @@
                 node,
                 incarnation,
                 used: reported.used,
-                demand: f64::from(reported.demand).clamp(0.0, MAX_DEMAND),
+                demand: demand(reported),
                 used_at: now,
                 active_since: now,
             };
@@ -404,7 +414,9 @@
                     difference(reported.used, before)
                 }
                 None => {
-                    entry.counts.push(count);
+                    if entry.counts.len() < MAX_NODES {
+                        entry.counts.push(count);
+                    }
                     // What the node used before this one knew it is in the level that it reports.
                     if is_learning { 0.0 } else { f64::from(reported.used).min(1.0) }
                 }
@@ -469,6 +481,12 @@
 /// The greatest demand that a report may state, in requests per second.
 const MAX_DEMAND: f64 = 1e6;
 
+/// The demand that a report states; zero if it is not a number.
+fn demand(reported: &Usage) -> f64 {
+    let demand = f64::from(reported.demand);
+    if demand.is_nan() { 0.0 } else { demand.clamp(0.0, MAX_DEMAND) }
+}
+
 /// The requests between two counts, which wrap around and may fall.
 fn difference(used: u32, before: u32) -> f64 {
     f64::from(used.wrapping_sub(before).cast_signed())
@@ -493,11 +511,16 @@
     let competitors = if is_new { nodes.count().max(users) } else { users };
     let demand = entry.limit.demand();
     let all = demand + others_demand;
+    let is_learning = nodes.divided_at.is_some() && nodes.is_learning(now);
+    let is_calm = !is_learning && all <= rate.per_second;
+    let least = if is_new && is_calm { 1.0 + rate.per_second * NEW_USE.as_secs_f64() } else { 1.0 };
     let access = Access {
         is_open: nodes.is_open(now),
         weight: 1.0 / competitors as f64,
+        least,
         demand_fraction: if all > 0.0 { (demand / all).max(1.0 / users as f64 / 4.0) } else { 1.0 },
         others_demand,
+        is_learning,
         refill: 1.0 - silent,
     };
     if let Some(common) = entry.limit.common_mut() {
