--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -30,6 +30,7 @@
 use crate::revision::Revision;
 use crate::shares::Shares;
 use crate::source::Source;
+use crate::usage;
 use site::config::Config;
 use site::fleet;
 use site::fleet::Change;
@@ -373,6 +374,7 @@
     let before = process.router.replace(Some(Rc::clone(&router)));
     customers::install(process, &router, before.as_deref());
     *process.config.borrow_mut() = Some(config.clone());
+    usage::install(process, config.customers.as_ref());
     update_shares(process);
 }
 
