entry: customers' rates are kept by the keys of the configuration in use

The admission of quotas and the exchange of use were built side by side, each with a book of its own. There is one now, in usage::State, and its keys are those of customer::book, which no two customers share.

--- a/crates/process/entry/src/customers.rs
+++ b/crates/process/entry/src/customers.rs
@@ -3,7 +3,6 @@
 //! Invariants: a key is checked only against the configuration that the request uses. A token that
 //! a request took is returned if the request certainly has not run here.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +12,9 @@
 use crate::protocol::RequestHeaders;
 use crate::read::Rejection;
 use crate::registry::Kind;
+use crate::usage;
 use base::time::Time;
+use customer::book::Book;
 use customer::book::Customer;
 use share::usage::Rate;
 use site::router::Route;
@@ -55,31 +56,17 @@
     !process.is_config_compared.get() || !is_confirmed(process) && was_paused()
 }
 
-/// Takes over the customers of the router in use; `before` are those of the one before.
-pub(crate) fn install(process: &Process, router: &Router, before: Option<&Router>) {
-    if let Some(book) = &router.customers {
-        for conflict in book.conflicts() {
-            log::warn!(target: "config", version = router.version, holder = conflict.holder.as_ref(), other = conflict.other.as_ref(); "Two customers have the same key; it identifies only the first one.");
-        }
+/// Takes over the customers of the router in use.
+pub(crate) fn install(process: &Process, router: &Router) {
+    let customers = router.customers.as_ref().map(Book::customers).unwrap_or_default();
+    let conflicts = router.customers.as_ref().map(Book::conflicts).unwrap_or_default();
+    for conflict in conflicts {
+        log::warn!(target: "config", version = router.version, holder = conflict.holder.as_ref(), other = conflict.other.as_ref(); "Two customers have the same key; it identifies only the first one.");
     }
-    let mut usage = process.usage.borrow_mut();
-    let Some(usage) = usage.as_mut() else { return };
-    let customers = |router: &Router| -> Vec<Arc<Customer>> {
-        let book = router.customers.as_ref();
-        book.map(|book| book.customers().to_vec()).unwrap_or_default()
+    let rate = |customer: &Arc<Customer>| {
+        (customer.key, Rate { per_second: customer.rate, burst: customer.burst })
     };
-    let now = process.clock.now();
-    let mut limited = HashSet::new();
-    for customer in customers(router).iter().filter(|customer| customer.rate > 0.0) {
-        limited.insert(customer.key);
-        let rate = Rate { per_second: customer.rate, burst: customer.burst };
-        usage.set_rate(now, customer.key, rate);
-    }
-    for customer in before.map(customers).unwrap_or_default() {
-        if !limited.contains(&customer.key) {
-            usage.remove(customer.key);
-        }
-    }
+    usage::install(process, customers.iter().map(rate).collect());
 }
 
 /// The token of an admitted request. It is returned when this is dropped, unless an attempt may
@@ -102,8 +89,8 @@
 impl Drop for Token {
     fn drop(&mut self) {
         let is_unused = self.is_unused || self.request.possible_runs.get() == 0;
-        if is_unused && let Some(usage) = self.process.usage.borrow_mut().as_mut() {
-            usage.give_back(self.process.clock.now(), self.key);
+        if is_unused {
+            usage::give_back(&*self.process, self.key);
         }
     }
 }
@@ -115,9 +102,7 @@
 ) -> Result<Option<Token>, Rejection> {
     let Some(customer) = &request.customer else { return Ok(None) };
     let now = process.clock.now();
-    if let Some(usage) = process.usage.borrow_mut().as_mut()
-        && let Err(at) = usage.take(now, customer.key)
-    {
+    if let Err(at) = usage::take(&**process, customer.key) {
         process.customer_stats.borrow_mut().refused_above(&customer.name);
         process.metrics.record_customer_request("above the quota");
         return Err(Rejection::AboveQuota { wait: at.since(now) + ROUNDING });
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -46,7 +46,6 @@
 use replica::budget::Budget;
 use replica::service_time::Estimator;
 use replica::table::Table;
-use share::usage::Book as Usage;
 use site::config::Config;
 use site::fleet::Fleet;
 use site::router::Router;
@@ -66,8 +65,6 @@
     pub(crate) departures: RefCell<Departures>,
     pub(crate) table: RefCell<Table>,
     pub(crate) budget: RefCell<Budget>,
-    /// The use of the customers' quotas; `None` if the deployment has none.
-    pub(crate) usage: RefCell<Option<Usage>>,
     pub(crate) customer_stats: RefCell<Stats>,
     /// Whether the configuration was compared with that of another node, or none has answered: the
     /// registry may have returned from an older copy.
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -57,7 +57,6 @@
 use replica::budget::Budget;
 use replica::table::Locality;
 use replica::table::Table;
-use share::usage::Book;
 use site::fleet::Fleet;
 
 /// Why a node did not start.
@@ -204,7 +203,6 @@
         departures: RefCell::default(),
         table: RefCell::new(Table::new(locality, rng.random())),
         budget: RefCell::new(budget),
-        usage: RefCell::new(settings.allowance.map(Book::new)),
         customer_stats: RefCell::new(Stats::default()),
         is_config_compared: Cell::new(false),
         route_stats: RefCell::new(StatsByRoute::default()),
--- a/crates/process/entry/src/usage.rs
+++ b/crates/process/entry/src/usage.rs
@@ -20,7 +20,6 @@
 use crate::members::Members;
 use crate::shares::Shares;
 use base::time::Time;
-use customer::config::Customers;
 use share::bound::Bound;
 use share::usage::Book;
 use share::usage::Fleet;
@@ -28,7 +27,6 @@
 use share::usage::Peer;
 use share::usage::Rate;
 use share::usage::Usage;
-use share::usage::key;
 
 /// Begins a datagram with usage. MessagePack does not use this byte, so neither a heartbeat nor a
 /// notice, which has one such byte before its MessagePack, begins with two.
@@ -79,19 +77,12 @@
     fn sent(&self, datagrams: usize, bytes: usize);
 }
 
-/// Uses the rates of a version of the configuration.
-pub fn install(context: &dyn Context, customers: Option<&Customers>) {
+/// Uses the rates of a version of the configuration, by the customers' keys; a rate of zero is no
+/// limit.
+pub fn install(context: &dyn Context, mut rates: HashMap<u32, Rate>) {
     let state = context.usage();
     let Some(bound) = state.bound else { return };
-    let customers = customers.map(|customers| &*customers.customers).unwrap_or_default();
-    let rates: HashMap<u32, Rate> = customers
-        .iter()
-        .filter(|customer| customer.rate_per_second > 0.0)
-        .map(|customer| {
-            let rate = Rate { per_second: customer.rate_per_second, burst: customer.burst };
-            (key(&customer.name), rate)
-        })
-        .collect();
+    rates.retain(|_, rate| rate.per_second > 0.0);
     let mut book = state.book.borrow_mut();
     if rates.is_empty() {
         *book = None;
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -30,7 +30,6 @@
 use crate::revision::Revision;
 use crate::shares::Shares;
 use crate::source::Source;
-use crate::usage;
 use site::config::Config;
 use site::fleet;
 use site::fleet::Change;
@@ -371,10 +370,9 @@
     log::info!(target: "config", version = config.version, before = current, routes = config.routes.len(); "A new version of the configuration is in use.");
     process.metrics.record_config_version(config.version);
     let router = Rc::new(router);
-    let before = process.router.replace(Some(Rc::clone(&router)));
-    customers::install(process, &router, before.as_deref());
+    *process.router.borrow_mut() = Some(Rc::clone(&router));
+    customers::install(process, &router);
     *process.config.borrow_mut() = Some(config.clone());
-    usage::install(process, config.customers.as_ref());
     update_shares(process);
 }
 
--- a/crates/process/entry/tests/usage_exchange.rs
+++ b/crates/process/entry/tests/usage_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,9 +16,6 @@
 use crate::support::heartbeat;
 use crate::support::members;
 use base::time::Time;
-use customer::config::Customer;
-use customer::config::Customers;
-use customer::key::Salt;
 use entry::clock::Clock;
 use entry::members::Members;
 use entry::members::Peer;
@@ -26,11 +24,15 @@
 use entry::usage::Context;
 use entry::usage::State;
 use share::bound::Bound;
+use share::usage::Rate;
 
 mod support;
 
 const BOUND: Bound = Bound { window: Duration::from_secs(5), factor: 1.1, slack: 20.0 };
 
+/// The key of the only customer.
+const KEY: u32 = 7;
+
 struct Node {
     clock: Clock,
     usage: State,
@@ -70,7 +72,7 @@
 }
 
 /// Node `number` and its socket; runs until the test ends.
-async fn start(number: usize, port: u16, customers: Option<&Customers>) -> (Rc<Node>, u16) {
+async fn start(number: usize, port: u16, rates: HashMap<u32, Rate>) -> (Rc<Node>, u16) {
     let peers = [1, 2].map(|last| Peer {
         ip: IpAddr::from([127, 0, 0, last]),
         data_centre: Arc::from("hall-a"),
@@ -88,7 +90,7 @@
         port,
         datagrams: Cell::new(0),
     });
-    usage::install(&*node, customers);
+    usage::install(&*node, rates);
     spawn_local(usage::send(Rc::clone(&node), Rc::clone(&socket)));
     let receiver = Rc::clone(&node);
     spawn_local(async move {
@@ -100,30 +102,20 @@
     (node, port)
 }
 
-fn customers(rate_per_second: f64) -> Customers {
-    let customer = Customer {
-        name: Arc::from("rowan"),
-        keys: Vec::new(),
-        priority: None,
-        rate_per_second,
-        burst: 5.0,
-        homes: Vec::new(),
-    };
-    Customers { salt: Salt::random(), customers: vec![customer] }
+fn rates(per_second: f64) -> HashMap<u32, Rate> {
+    HashMap::from([(KEY, Rate { per_second, burst: 5.0 })])
 }
 
 fn admitted(node: &Node) -> usize {
-    let key = share::usage::key("rowan");
-    (0..100).filter(|_| usage::take(node, key).is_ok()).count()
+    (0..100).filter(|_| usage::take(node, KEY).is_ok()).count()
 }
 
 /// Guards against nodes that don't hear of each other's use: without it, both admit the burst.
 #[tokio::test]
 async fn shared_level() {
     let run = async {
-        let customers = customers(0.5);
-        let (first, port) = start(0, 0, Some(&customers)).await;
-        let (second, _) = start(1, port, Some(&customers)).await;
+        let (first, port) = start(0, 0, rates(0.5)).await;
+        let (second, _) = start(1, port, rates(0.5)).await;
         let before = admitted(&first);
         assert!(before >= 5, "{before}");
         sleep(Duration::from_millis(200)).await;
@@ -138,8 +130,8 @@
 #[tokio::test]
 async fn customers_without_rates() {
     let run = async {
-        for customers in [None, Some(customers(0.0))] {
-            let (node, _) = start(0, 0, customers.as_ref()).await;
+        for rates in [HashMap::new(), rates(0.0)] {
+            let (node, _) = start(0, 0, rates).await;
             assert_eq!(admitted(&node), 100);
             sleep(Duration::from_millis(100)).await;
             assert_eq!(node.datagrams.get(), 0);
--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -38,11 +38,6 @@
     pub level: f32,
 }
 
-/// The key of a customer, the same on all nodes.
-pub fn key(name: &str) -> u32 {
-    base::hash::stable(0, &[name]) as u32
-}
-
 /// What a customer may use over all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rate {
