entry: polls and their answers carry field names

Polls and answers between nodes were encoded without field names. The decoder of an earlier build rejects a sequence that is longer than it knows, so a new field would have left followers of the other build without changes during a rolling replacement. They are now encoded with field names, which both builds read; heartbeats stay as they were. The definitions move to a module of their own, `entry::message`.

--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod era;
 pub mod feed;
 pub mod members;
+pub mod message;
 pub mod pace;
 pub mod placement;
 pub mod protocol;
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -18,8 +18,6 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -27,18 +25,21 @@
 
 use crate::feed::Since;
 use crate::forward;
+use crate::message;
+use crate::message::KINDS;
+use crate::message::Poll;
+use crate::message::State;
+use crate::message::Update;
 use crate::process::Process;
 use crate::registry::Batch;
 use crate::registry::Event;
 use crate::registry::Item;
 use crate::registry::Kind;
-use crate::revision::Revision;
 use crate::serve;
 use crate::serve::Answer;
 use crate::source::Source;
 use crate::upstream;
 use crate::watcher;
-use site::register::Incarnation;
 
 /// The timeout of a poll in addition to its wait; the transfer of a whole state to a small
 /// VM takes a tenth of it.
@@ -55,66 +56,6 @@
 /// registry.
 const MAX_PEERS_ASKED: usize = 6;
 
-/// The kinds that are passed on.
-const KINDS: [Kind; 2] = [Kind::Config, Kind::Servers];
-
-/// A poll: what the asking node has.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-struct Poll {
-    /// Its IP address.
-    ip: IpAddr,
-    /// The revision of its configuration, if it has one.
-    config: Option<Revision>,
-    /// The revision of its servers, if it has them.
-    servers: Option<Revision>,
-    /// The version of the configuration that it uses.
-    version: Option<u64>,
-    /// The registry's newest era that it knows.
-    era: u64,
-    /// Whether it has just started, so that it doesn't know which servers leave.
-    is_new: bool,
-    /// How long to wait for a change, in milliseconds.
-    wait_ms: u64,
-}
-
-impl Poll {
-    fn revision(&self, kind: Kind) -> Option<Revision> {
-        match kind {
-            Kind::Config => self.config,
-            Kind::Servers => self.servers,
-            Kind::Nodes => None,
-        }
-    }
-}
-
-/// What the asking node misses of one kind.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Update {
-    kind: Kind,
-    is_list: bool,
-    batch: Batch,
-}
-
-/// The answer to a poll.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct State {
-    /// What the asking node misses.
-    updates: Vec<Update>,
-    /// How long ago the registry confirmed the answering node's state of each kind, in
-    /// milliseconds, in the order of [`KINDS`].
-    ages_ms: [u64; 2],
-    /// How long ago the answering node saw the last outage of the registry end, in
-    /// milliseconds.
-    outage_age_ms: Option<u64>,
-    /// The registry's newest era that the answering node knows.
-    era: u64,
-    /// Whether the registry's list of the nodes in that era has the asking node, if the
-    /// answering node has such a list.
-    is_registered: Option<bool>,
-    /// The servers that leave or have left, for an asking node that is new.
-    leaving: Vec<Incarnation>,
-}
-
 /// The connections to the nodes that this one follows.
 type Links = HashMap<IpAddr, Link>;
 
@@ -143,7 +84,7 @@
             return serve::empty_answer(StatusCode::BAD_REQUEST, None);
         }
     };
-    let poll: Poll = match rmp_serde::from_slice(&body) {
+    let poll: Poll = match message::decode(&body) {
         Ok(poll) => poll,
         Err(error) => {
             log::warn!(target: "members", error:% = error; "A poll can't be decoded.");
@@ -175,7 +116,7 @@
     };
     let leaving = if poll.is_new { process.fleet.borrow().drained().collect() } else { Vec::new() };
     let state = State { updates, ages_ms, outage_age_ms, era, is_registered, leaving };
-    match rmp_serde::to_vec(&state) {
+    match message::encode(&state) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
             log::error!(target: "members", error:% = error; "The registry's state can't be encoded.");
@@ -306,7 +247,7 @@
             wait_ms: wait.as_millis() as u64,
         }
     };
-    let mut request = Request::new(Full::new(Bytes::from(rmp_serde::to_vec(&poll)?)));
+    let mut request = Request::new(Full::new(Bytes::from(message::encode(&poll)?)));
     *request.method_mut() = hyper::Method::POST;
     let host = hyper::http::HeaderValue::from_str(&ip.to_string())?;
     request.headers_mut().insert(hyper::header::HOST, host);
@@ -316,7 +257,7 @@
     }
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
-    Ok(rmp_serde::from_slice(&body)?)
+    Ok(message::decode(&body)?)
 }
 
 fn apply(process: &Process, state: State) {
