entry, site, replica: evacuated data centres get no requests

An operator's object `evacuations/ZONE` asks that nothing more is sent to the servers of a data centre. The objects are a third kind that is watched, passed on and waited for, only where the settings have a bound for them. Their servers are not chosen, and may_send refuses them just before sending; no trial connection is opened to them. A service all of whose servers are evacuated is refused at once with the cause "evacuated". Answers contain the kind only for nodes whose poll names it.

--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -277,7 +277,7 @@
     // Checked just before sending: while the attempt waited for a connection, the server
     // may have started to drain, disappeared or been replaced.
     if !process.table.borrow().may_send(now, server) {
-        return AttemptOutcome::NotSent("it is leaving, or wants no requests");
+        return AttemptOutcome::NotSent("it is leaving, evacuated, or wants no requests");
     }
     let left = caller_request.caller_deadline.since(now);
     if left.is_zero() {
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod admin;
 mod breaks;
 mod drive;
+mod evacuations;
 mod exchange;
 mod forward;
 mod front;
--- a/crates/process/entry/src/message.rs
+++ b/crates/process/entry/src/message.rs
@@ -9,6 +9,7 @@
 //! it, since an unknown variant makes the whole answer unreadable.
 
 use std::net::IpAddr;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -19,7 +20,7 @@
 use crate::revision::Revision;
 use site::register::Incarnation;
 
-/// The kinds that are passed on.
+/// The kinds that are passed on to every node.
 pub const KINDS: [Kind; 2] = [Kind::Config, Kind::Servers];
 
 /// A poll: what the asking node has.
@@ -39,14 +40,27 @@
     pub is_new: bool,
     /// How long to wait for a change, in milliseconds.
     pub wait_ms: u64,
+    /// Whether it knows evacuations; nodes of earlier builds don't.
+    #[serde(default)]
+    pub knows_evacuations: bool,
+    /// The revision of its evacuations, if it has them.
+    #[serde(default)]
+    pub evacuations: Option<Revision>,
 }
 
 impl Poll {
+    /// The kinds that the asking node can read.
+    pub fn kinds(&self) -> impl Iterator<Item = Kind> {
+        let kinds = KINDS.into_iter().chain([Kind::Evacuations]);
+        kinds.filter(|kind| self.knows_evacuations || *kind != Kind::Evacuations)
+    }
+
     /// The revision of its state of a kind.
     pub fn revision(&self, kind: Kind) -> Option<Revision> {
         match kind {
             Kind::Config => self.config,
             Kind::Servers => self.servers,
+            Kind::Evacuations => self.evacuations,
             Kind::Nodes => None,
         }
     }
@@ -81,6 +95,14 @@
     pub is_registered: Option<bool>,
     /// The servers that leave or have left, for an asking node that is new.
     pub leaving: Vec<Incarnation>,
+    /// How long ago the registry confirmed the answering node's evacuations, in milliseconds, if
+    /// it has them.
+    #[serde(default)]
+    pub evacuations_age_ms: Option<u64>,
+    /// The evacuations that a copy of the registry lacks and for how many milliseconds they are
+    /// still held, for an asking node that is new.
+    #[serde(default)]
+    pub held_evacuations: Vec<(Arc<str>, u64)>,
 }
 
 /// Encodes a message with the names of its fields.
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -43,6 +43,7 @@
     registry_calls: Counter<u64>,
     peer_polls: Counter<u64>,
     reach: Gauge<u64>,
+    evacuated: Gauge<u64>,
     registry_era: Gauge<u64>,
     registry_revision: Gauge<u64>,
     config_version: Gauge<u64>,
@@ -74,6 +75,7 @@
             limited_sends: meter.u64_counter("heatherseam_limited_sends").build(),
             peer_polls: meter.u64_counter("heatherseam_peer_polls").build(),
             registry_calls: meter.u64_counter("heatherseam_registry_calls").build(),
+            evacuated: meter.u64_gauge("heatherseam_evacuated_data_centres").build(),
             reach: meter.u64_gauge("heatherseam_services_reached_percent").build(),
             registry_era: meter.u64_gauge("heatherseam_registry_era").build(),
             registry_revision: meter.u64_gauge("heatherseam_registry_revision").build(),
@@ -156,6 +158,11 @@
         self.reach.record(u64::from(percent), &[]);
     }
 
+    /// Records how many data centres are evacuated.
+    pub(crate) fn record_evacuated(&self, data_centres: usize) {
+        self.evacuated.record(data_centres as u64, &[]);
+    }
+
     /// Records the registry's newest era.
     pub(crate) fn record_era(&self, era: u64) {
         self.registry_era.record(era, &[]);
--- a/crates/process/entry/src/path.rs
+++ b/crates/process/entry/src/path.rs
@@ -74,7 +74,10 @@
 
 /// Finds a lost service again if a connection to one of its servers is open; otherwise opens one.
 fn try_service(process: &Process, service: Service) {
-    let servers: Vec<Server> = process.table.borrow().servers_of(service).collect();
+    let servers: Vec<Server> = {
+        let table = process.table.borrow();
+        table.servers_of(service).filter(|server| !table.record(*server).evacuated).collect()
+    };
     match servers.iter().find(|server| process.pool.has_idle(**server)) {
         Some(server) => process.table.borrow_mut().connected(process.clock.now(), *server),
         None => {
@@ -101,7 +104,8 @@
         return;
     }
     let mut table = process.table.borrow_mut();
-    let servers: Vec<Server> = table.servers_in_use().collect();
+    let servers: Vec<Server> =
+        table.servers_in_use().filter(|server| !table.record(*server).evacuated).collect();
     trials.proof_servers.clear();
     for _ in 0..PROOF_SERVERS.min(servers.len()) {
         let index = (table.random_fraction() * servers.len() as f64) as usize;
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -44,6 +44,7 @@
 use replica::service_time::Estimator;
 use replica::table::Table;
 use site::config::Config;
+use site::evacuation::Evacuations;
 use site::fleet::Fleet;
 use site::router::Router;
 
@@ -58,6 +59,7 @@
     /// The routes of the configuration in use; `None` until one is received.
     pub(crate) router: RefCell<Option<Rc<Router>>>,
     pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// The servers that have told this node that they leave.
     pub(crate) departures: RefCell<Departures>,
     pub(crate) table: RefCell<Table>,
@@ -135,7 +137,20 @@
 impl Process {
     /// Whether callers may be sent to this node.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.has_server_list.get() && self.router.borrow().is_some()
+        !self.leaving.get()
+            && self.has_server_list.get()
+            && self.router.borrow().is_some()
+            && (!self.has_evacuations() || self.knows_evacuations())
+    }
+
+    /// Whether the deployment has evacuations.
+    pub(crate) fn has_evacuations(&self) -> bool {
+        self.settings.evacuation_bound.is_some()
+    }
+
+    /// Whether this node has heard which data centres are evacuated.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        self.feeds.borrow().of(Kind::Evacuations).revision().is_some()
     }
 
     /// When the registry last confirmed the state of a kind.
@@ -260,6 +275,7 @@
 /// configuration is of use.
 const KEPT_CONFIG_BATCHES: usize = 1;
 const KEPT_SERVER_BATCHES: usize = 64;
+const KEPT_EVACUATION_BATCHES: usize = 16;
 
 /// The nodes in a list of the registry.
 pub(crate) struct ListedNodes {
@@ -271,6 +287,7 @@
 pub(crate) struct Feeds {
     config: Feed,
     servers: Feed,
+    evacuations: Feed,
     /// Not passed on; holds only the revision.
     nodes: Feed,
 }
@@ -280,6 +297,7 @@
         Self {
             config: Feed::new(KEPT_CONFIG_BATCHES),
             servers: Feed::new(KEPT_SERVER_BATCHES),
+            evacuations: Feed::new(KEPT_EVACUATION_BATCHES),
             nodes: Feed::new(0),
         }
     }
@@ -288,6 +306,7 @@
         match kind {
             Kind::Config => &self.config,
             Kind::Servers => &self.servers,
+            Kind::Evacuations => &self.evacuations,
             Kind::Nodes => &self.nodes,
         }
     }
@@ -296,6 +315,7 @@
         match kind {
             Kind::Config => &mut self.config,
             Kind::Servers => &mut self.servers,
+            Kind::Evacuations => &mut self.evacuations,
             Kind::Nodes => &mut self.nodes,
         }
     }
--- a/crates/process/entry/src/registry.rs
+++ b/crates/process/entry/src/registry.rs
@@ -27,6 +27,8 @@
     Servers,
     /// Entry nodes.
     Nodes,
+    /// Evacuations of data centres; watched only where the settings have a bound for them.
+    Evacuations,
 }
 
 impl Kind {
@@ -36,6 +38,7 @@
             Self::Config => "config",
             Self::Servers => "servers",
             Self::Nodes => "nodes",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -64,6 +67,8 @@
     Server(Entry),
     /// An entry node.
     Node(Node),
+    /// The evacuation of the data centre of this name.
+    Evacuation(Arc<str>),
 }
 
 /// An object of a list, or a change.
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::evacuations;
 use crate::feed::Since;
 use crate::forward;
 use crate::message;
@@ -115,7 +116,20 @@
         current.map(|listed| listed.addresses.contains(&poll.ip))
     };
     let leaving = if poll.is_new { process.fleet.borrow().drained().collect() } else { Vec::new() };
-    let state = State { updates, ages_ms, outage_age_ms, era, is_registered, leaving };
+    let evacuations_age_ms = process
+        .knows_evacuations()
+        .then(|| now.since(process.confirmed_at(Kind::Evacuations)).as_millis() as u64);
+    let held_evacuations = if poll.is_new { evacuations::held(&process) } else { Vec::new() };
+    let state = State {
+        updates,
+        ages_ms,
+        outage_age_ms,
+        era,
+        is_registered,
+        leaving,
+        evacuations_age_ms,
+        held_evacuations,
+    };
     match message::encode(&state) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
@@ -136,7 +150,7 @@
             Some(Update { kind, is_list: true, batch })
         }
     };
-    KINDS.into_iter().filter_map(of_kind).collect()
+    poll.kinds().filter_map(of_kind).collect()
 }
 
 /// A later version of the configuration than that of the asking node, whose state is not older:
@@ -161,6 +175,7 @@
             let fleet = process.fleet.borrow();
             fleet.registered().cloned().map(|entry| Event::Put(Item::Server(entry))).collect()
         }
+        Kind::Evacuations => evacuations::list(process),
         Kind::Nodes => Vec::new(),
     }
 }
@@ -245,6 +260,8 @@
             era: process.era.borrow().newest(),
             is_new,
             wait_ms: wait.as_millis() as u64,
+            knows_evacuations: process.has_evacuations(),
+            evacuations: revision(Kind::Evacuations),
         }
     };
     let mut request = Request::new(Full::new(Bytes::from(message::encode(&poll)?)));
@@ -273,6 +290,7 @@
         watcher::apply_batch(process, update.kind, update.batch, update.is_list);
     }
     state.leaving.iter().for_each(|server| watcher::server_leaves(process, server));
+    evacuations::hold(process, &state.held_evacuations);
     if state.era < process.era.borrow().newest() {
         // What the registry confirmed to that node in an earlier era says nothing of this one.
         return;
@@ -283,12 +301,21 @@
     for (kind, age) in KINDS.into_iter().zip(state.ages_ms) {
         process.confirm(kind, now.before(Duration::from_millis(age)));
     }
+    if let Some(age) = state.evacuations_age_ms {
+        process.confirm(Kind::Evacuations, now.before(Duration::from_millis(age)));
+    }
 }
 
 /// Asks nodes one after another for their state, nearest first, and applies the first one: for
 /// a start while the registry does not answer.
 pub(crate) async fn fetch_state(process: &Process) {
-    ask_nodes(process, |state| !state.updates.is_empty()).await;
+    // A node of an earlier build does not know the evacuations; the next one may.
+    let needs_evacuations = process.has_evacuations() && !process.knows_evacuations();
+    let suffices = |state: &State| {
+        let has_evacuations = state.evacuations_age_ms.is_some();
+        !state.updates.is_empty() && (!needs_evacuations || has_evacuations)
+    };
+    ask_nodes(process, suffices).await;
 }
 
 /// Asks the nearest node for what it knows beyond the registry's list: after a return from a
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -197,6 +197,7 @@
         config: RefCell::new(None),
         router: RefCell::new(None),
         fleet: RefCell::new(Fleet::new(settings.fleet)),
+        evacuations: RefCell::default(),
         departures: RefCell::default(),
         table: RefCell::new(Table::new(locality, rng.random())),
         budget: RefCell::new(budget),
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::evacuations;
 use crate::feed::Relation;
 use crate::members::Peer;
 use crate::process::ListedNodes;
@@ -66,6 +67,9 @@
     }
     spawn_local(run(Rc::clone(&process), Kind::Config));
     spawn_local(run(Rc::clone(&process), Kind::Servers));
+    if process.has_evacuations() {
+        spawn_local(run(Rc::clone(&process), Kind::Evacuations));
+    }
     spawn_local(register_and_list_nodes(process));
 }
 
@@ -121,9 +125,11 @@
                 }
             }
             // Without a state, an older list will do: the watch that follows brings the
-            // changes since then.
-            None => process.registry.list(kind, Freshness::Recent).await,
-            Some(_) => {
+            // changes since then. But a node is ready once it has the evacuations.
+            None if kind != Kind::Evacuations => {
+                process.registry.list(kind, Freshness::Recent).await
+            }
+            _ => {
                 if outdated {
                     sleep(return_delay(&process)).await;
                 }
@@ -265,6 +271,8 @@
         on_nodes_listed(process, &batch);
     }
     let mut servers = Vec::new();
+    let mut evacuated = Vec::new();
+    let origin = evacuations::origin(batch.revision);
     let mut changes = Vec::new();
     let now = process.clock.now();
     let is_empty = batch.events.is_empty();
@@ -282,6 +290,11 @@
             Event::Removed(name) if kind == Kind::Servers => {
                 changes.extend(process.fleet.borrow_mut().apply(now, fleet::Event::Removed(name)));
             }
+            Event::Put(Item::Evacuation(name)) if is_list => evacuated.push(name),
+            Event::Put(Item::Evacuation(name)) => evacuations::put(process, origin, &name),
+            Event::Removed(name) if kind == Kind::Evacuations => {
+                evacuations::removed(process, &name);
+            }
             Event::Removed(name) => {
                 log::info!(target: "registry", kind:? = kind, name = name.as_ref(); "An object was removed.");
             }
@@ -306,6 +319,10 @@
         process.has_server_list.set(true);
         apply_changes(process, &changes);
     }
+    if kind == Kind::Evacuations && is_list {
+        let is_copy = relation == Relation::Replacement;
+        evacuations::apply_list(process, origin, &evacuated, is_copy);
+    }
     if !is_empty {
         process.state_changed.notify_waiters();
     }
@@ -379,6 +396,7 @@
         sleep(EXPIRY_INTERVAL).await;
         let changes = process.fleet.borrow_mut().expire(process.clock.now());
         apply_changes(&process, &changes);
+        evacuations::expire(&process);
     }
 }
 
@@ -421,7 +439,7 @@
             record.address,
             limit.map(|limit| shares.connections(limit)),
         );
-        if shares.serving {
+        if shares.serving && !record.evacuated {
             process.pool.preconnect(server);
         }
     }
--- a/crates/process/entry/tests/build_compatibility.rs
+++ b/crates/process/entry/tests/build_compatibility.rs
@@ -50,6 +50,8 @@
         era: 3,
         is_new: true,
         wait_ms: 700,
+        knows_evacuations: false,
+        evacuations: None,
     }
 }
 
@@ -111,6 +113,8 @@
         era: 3,
         is_registered: Some(true),
         leaving: vec![incarnation()],
+        evacuations_age_ms: None,
+        held_evacuations: Vec::new(),
     }
 }
 
@@ -143,11 +147,23 @@
 #[test]
 fn earlier_build_reads_field_names() {
     let read = |bytes: &[u8]| format!("{:?}", rmp_serde::from_slice::<earlier::Poll>(bytes));
-    let written = message::encode(&poll()).expect("encodes");
+    let poll = Poll { knows_evacuations: true, evacuations: Some(revision(8)), ..poll() };
+    let written = message::encode(&poll).expect("encodes");
     assert!(read(&written).starts_with("Ok("), "{}", read(&written));
     assert_eq!(read(&written), read(POLL));
     let read = |bytes: &[u8]| format!("{:?}", rmp_serde::from_slice::<earlier::State>(bytes));
-    let written = message::encode(&state()).expect("encodes");
+    let held_evacuations = vec![(Arc::from("hall-a"), 900)];
+    let state = State { evacuations_age_ms: Some(40), held_evacuations, ..state() };
+    let written = message::encode(&state).expect("encodes");
     assert!(read(&written).starts_with("Ok("), "{}", read(&written));
     assert_eq!(read(&written), read(STATE));
 }
+
+/// An update of a kind that the asking node doesn't know makes its whole answer unreadable.
+#[test]
+fn evacuations_are_sent_only_to_nodes_that_know_them() {
+    let poll = message::decode::<Poll>(POLL).expect("poll");
+    assert!(poll.kinds().eq([Kind::Config, Kind::Servers]));
+    let poll = Poll { knows_evacuations: true, ..poll };
+    assert!(poll.kinds().eq([Kind::Config, Kind::Servers, Kind::Evacuations]));
+}
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -126,6 +126,8 @@
     Refused,
     /// Its servers all turn requests away for a time.
     TurnedAway,
+    /// All its servers are in evacuated data centres.
+    Evacuated,
     /// Its servers name limits, and this node's parts of them are used up.
     Limited,
     /// Its servers failed.
@@ -146,6 +148,7 @@
             Self::Busy => "busy",
             Self::Refused => "refused",
             Self::TurnedAway => "turned away",
+            Self::Evacuated => "evacuated",
             Self::Limited => "limited",
             Self::Failed => "failed",
             Self::Budget => "budget spent",
@@ -171,6 +174,11 @@
     /// it has none or one of them accepts requests.
     fn accepts_at(&mut self, now: Time, service: Service) -> Option<Time>;
 
+    /// Whether all servers of `service` are in evacuated data centres.
+    fn is_evacuated(&mut self, _service: Service) -> bool {
+        false
+    }
+
     /// Whether a server of `service` names a limit, so that a choice may fail for it.
     fn is_limited(&mut self, _service: Service) -> bool {
         false
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -452,13 +452,16 @@
     }
 }
 
-/// Why no server of a service may be chosen though it has some: they turn requests away until
-/// `accepts_at`, or name limits.
+/// Why no server of a service may be chosen though it has some: they are in evacuated data
+/// centres, turn requests away until `accepts_at`, or name limits.
 fn held_back(
     service: Service,
     accepts_at: Option<Time>,
     balancer: &mut dyn Balancer,
 ) -> Option<Cause> {
+    if balancer.is_evacuated(service) {
+        return Some(Cause::Evacuated);
+    }
     if balancer.is_limited(service) {
         return Some(Cause::Limited);
     }
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -49,6 +49,10 @@
         self.table.is_limited(service)
     }
 
+    fn is_evacuated(&mut self, service: Service) -> bool {
+        self.table.is_evacuated(service)
+    }
+
     fn first_send(&mut self, now: Time, service: Service) {
         self.budget.first_send(now, service);
     }
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -77,6 +77,8 @@
     pub slots: u32,
     /// Whether it may get requests.
     pub in_use: bool,
+    /// Whether its data centre is evacuated, so that it must get no requests.
+    pub evacuated: bool,
     /// Whether its registry entry is missing.
     pub entry_missing: bool,
     /// The end of its warm-up, during which it is assumed to be slow.
@@ -128,6 +130,7 @@
             data_centre: Arc::from(""),
             slots: 1,
             in_use: true,
+            evacuated: false,
             entry_missing: false,
             warmup_until: Time::ZERO,
             start_times: Vec::new(),
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -10,9 +10,11 @@
 //!
 //! Invariants: a draining server is never chosen. Nor is one that turned requests away, until
 //! the time that it asked for is over; then single trials decide when it is used again. One that
-//! names a limit is chosen only within this node's part of it. An index keeps its meaning while the process runs; another incarnation gets a new index.
+//! names a limit is chosen only within this node's part of it. One whose data centre is evacuated is
+//! not chosen. An index keeps its meaning while the process runs; another incarnation gets a new index.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -156,6 +158,8 @@
     servers_by_service: PrimaryMap<Service, Vec<Server>>,
     connection_limits: SecondaryMap<Service, u32>,
     by_key: HashMap<u32, Server>,
+    /// The evacuated data centres.
+    evacuated: HashSet<Arc<str>>,
     reach: Reach,
     /// The limited servers that a choice has looked at, and their costs.
     considered: Vec<(Duration, Server)>,
@@ -174,6 +178,7 @@
             servers_by_service: PrimaryMap::new(),
             connection_limits: SecondaryMap::new(),
             by_key: HashMap::new(),
+            evacuated: HashSet::new(),
             reach: Reach::default(),
             considered: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -272,6 +277,7 @@
         record.slots = entry.slots.max(1);
         record.entry_missing = false;
         record.in_use = true;
+        record.evacuated = self.evacuated.contains(&entry.data_centre);
         record.warmup_until = now + entry.warmup;
         if !self.servers_by_service[service].contains(&server) {
             self.servers_by_service[service].push(server);
@@ -279,6 +285,26 @@
         removed
     }
 
+    /// Sets whether the servers of `data_centre` must get no requests.
+    pub fn set_evacuated(&mut self, data_centre: &Arc<str>, is_evacuated: bool) {
+        if is_evacuated {
+            self.evacuated.insert(Arc::clone(data_centre));
+        } else {
+            self.evacuated.remove(data_centre);
+        }
+        for record in self.servers.values_mut() {
+            if record.data_centre == *data_centre {
+                record.evacuated = is_evacuated;
+            }
+        }
+    }
+
+    /// Whether all servers of `service` are in evacuated data centres.
+    pub fn is_evacuated(&self, service: Service) -> bool {
+        let servers = &self.servers_by_service[service];
+        !servers.is_empty() && servers.iter().all(|server| self.servers[*server].evacuated)
+    }
+
     fn remove_id(&mut self, id: &Arc<str>) -> Option<Server> {
         let incarnation = self.by_incarnation.keys().find(|known| known.id == *id).cloned()?;
         self.remove(&incarnation)
@@ -391,7 +417,8 @@
         let mut best: Option<(Duration, Server, Duration)> = None;
         for index in 0..self.servers_by_service[service].len() {
             let server = self.servers_by_service[service][index];
-            if tried.contains(&server) || !self.servers[server].accepts(now) {
+            let record = &self.servers[server];
+            if tried.contains(&server) || record.evacuated || !record.accepts(now) {
                 continue;
             }
             let jitter = 1.0 + max_jitter * self.rng.random::<f64>();
@@ -421,11 +448,13 @@
         Some(Selection { server, expected_latency, saturated })
     }
 
-    /// Whether a server may still get a request that it was chosen for: it is in use, and has
-    /// turned none away since.
+    /// Whether a server may still get a request that it was chosen for: it is in use, has
+    /// turned none away since, and its data centre is not evacuated.
     pub fn may_send(&self, now: Time, server: Server) -> bool {
         let record = &self.servers[server];
-        record.in_use && record.trial_at().is_none_or(|trial_at| now >= trial_at)
+        record.in_use
+            && !record.evacuated
+            && record.trial_at().is_none_or(|trial_at| now >= trial_at)
     }
 
     /// Records that a server wants no requests for the time `asked`.
@@ -499,11 +528,14 @@
     }
 
     /// When a service accepts a request again whose servers all turn requests away; `None` if
-    /// it has no servers or one of them accepts requests.
+    /// it has no servers outside evacuated data centres or one of them accepts requests.
     pub fn accepts_at(&self, now: Time, service: Service) -> Option<Time> {
         let mut earliest: Option<Time> = None;
         for server in &self.servers_by_service[service] {
             let record = &self.servers[*server];
+            if record.evacuated {
+                continue;
+            }
             let trial_at = if record.accepts(now) { None } else { record.trial_at() };
             let limited_until = record.limit.as_ref().and_then(|limit| limit.admits_at(now));
             let accepts_at = trial_at.max(limited_until)?;
@@ -514,7 +546,10 @@
 
     /// Whether a server of `service` names a limit.
     pub fn is_limited(&self, service: Service) -> bool {
-        self.servers_of(service).any(|server| self.servers[server].limit.is_some())
+        self.servers_of(service).any(|server| {
+            let record = &self.servers[server];
+            !record.evacuated && record.limit.is_some()
+        })
     }
 
     /// When a request that `service` does not accept now should return: like
@@ -523,7 +558,10 @@
     pub fn return_at(&mut self, now: Time, service: Service) -> Option<Time> {
         let accepts_at = self.accepts_at(now, service);
         let servers = self.servers_by_service[service].iter().copied();
-        let usable = servers.filter(|server| self.servers[*server].accepts(now));
+        let usable = servers.filter(|server| {
+            let record = &self.servers[*server];
+            !record.evacuated && record.accepts(now)
+        });
         let limited = |server: &Server| self.servers[*server].limit.is_some();
         let rate =
             |server: Server| self.servers[server].limit.as_ref().map_or(0.0, |l| l.rate(now));
--- a/crates/version/site/src/lib.rs
+++ b/crates/version/site/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 
 pub mod config;
+pub mod evacuation;
 pub mod fleet;
 pub mod register;
 pub mod router;
