--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -288,7 +288,7 @@
     // Checked just before sending: while the attempt waited for a connection, the server
     // may have started to drain, disappeared or been replaced.
     if !process.table.borrow().may_send(now, server) {
-        return AttemptOutcome::NotSent("it is leaving, or wants no requests");
+        return AttemptOutcome::NotSent("it is leaving, evacuated, or wants no requests");
     }
     // Its entry may have been corrected meanwhile, so that it names another region.
     if !process.table.borrow().is_allowed(server, caller_request.homes) {
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -47,6 +47,7 @@
 use replica::service_time::Estimator;
 use replica::table::Table;
 use site::config::Config;
+use site::evacuation::Evacuations;
 use site::fleet::Fleet;
 use site::router::Router;
 
@@ -61,6 +62,7 @@
     /// The routes of the configuration in use; `None` until one is received.
     pub(crate) router: RefCell<Option<Rc<Router>>>,
     pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// The servers that have told this node that they leave.
     pub(crate) departures: RefCell<Departures>,
     pub(crate) table: RefCell<Table>,
@@ -144,12 +146,29 @@
 impl Process {
     /// Whether callers may be sent to this node.
     pub(crate) fn is_ready(&self) -> bool {
-        let is_configured = self
-            .router
-            .borrow()
-            .as_ref()
-            .is_some_and(|router| router.customers.is_none() || self.is_config_compared.get());
-        !self.leaving.get() && self.has_server_list.get() && is_configured
+        !self.leaving.get()
+            && self.has_server_list.get()
+            && self.is_configured()
+            && (!self.has_evacuations() || self.knows_evacuations())
+    }
+
+    /// Whether there is a configuration, and its customers' keys were compared with the registry.
+    fn is_configured(&self) -> bool {
+        let router = self.router.borrow();
+        let is_current = |router: &Rc<Router>| {
+            router.customers.is_none() || self.is_config_compared.get()
+        };
+        router.as_ref().is_some_and(is_current)
+    }
+
+    /// Whether the deployment has evacuations.
+    pub(crate) fn has_evacuations(&self) -> bool {
+        self.settings.evacuation_bound.is_some()
+    }
+
+    /// Whether this node has heard which data centres are evacuated.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        self.feeds.borrow().of(Kind::Evacuations).revision().is_some()
     }
 
     /// When the registry last confirmed the state of a kind.
@@ -304,6 +323,7 @@
 /// configuration is of use.
 const KEPT_CONFIG_BATCHES: usize = 1;
 const KEPT_SERVER_BATCHES: usize = 64;
+const KEPT_EVACUATION_BATCHES: usize = 16;
 
 /// The nodes in a list of the registry.
 pub(crate) struct ListedNodes {
@@ -315,6 +335,7 @@
 pub(crate) struct Feeds {
     config: Feed,
     servers: Feed,
+    evacuations: Feed,
     /// Not passed on; holds only the revision.
     nodes: Feed,
 }
@@ -324,6 +345,7 @@
         Self {
             config: Feed::new(KEPT_CONFIG_BATCHES),
             servers: Feed::new(KEPT_SERVER_BATCHES),
+            evacuations: Feed::new(KEPT_EVACUATION_BATCHES),
             nodes: Feed::new(0),
         }
     }
@@ -332,6 +354,7 @@
         match kind {
             Kind::Config => &self.config,
             Kind::Servers => &self.servers,
+            Kind::Evacuations => &self.evacuations,
             Kind::Nodes => &self.nodes,
         }
     }
@@ -340,6 +363,7 @@
         match kind {
             Kind::Config => &mut self.config,
             Kind::Servers => &mut self.servers,
+            Kind::Evacuations => &mut self.evacuations,
             Kind::Nodes => &mut self.nodes,
         }
     }
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -18,27 +18,29 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::evacuations;
 use crate::feed::Since;
 use crate::forward;
+use crate::message;
+use crate::message::KINDS;
+use crate::message::Poll;
+use crate::message::State;
+use crate::message::Update;
 use crate::process::Process;
 use crate::registry::Batch;
 use crate::registry::Event;
 use crate::registry::Item;
 use crate::registry::Kind;
-use crate::revision::Revision;
 use crate::serve;
 use crate::serve::Answer;
 use crate::source::Source;
 use crate::upstream;
 use crate::watcher;
-use site::register::Incarnation;
 
 /// The timeout of a poll in addition to its wait; the transfer of a whole state to a small
 /// VM takes a tenth of it.
@@ -55,66 +57,6 @@
 /// registry.
 const MAX_PEERS_ASKED: usize = 6;
 
-/// The kinds that are passed on.
-const KINDS: [Kind; 2] = [Kind::Config, Kind::Servers];
-
-/// A poll: what the asking node has.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-struct Poll {
-    /// Its IP address.
-    ip: IpAddr,
-    /// The revision of its configuration, if it has one.
-    config: Option<Revision>,
-    /// The revision of its servers, if it has them.
-    servers: Option<Revision>,
-    /// The version of the configuration that it uses.
-    version: Option<u64>,
-    /// The registry's newest era that it knows.
-    era: u64,
-    /// Whether it has just started, so that it doesn't know which servers leave.
-    is_new: bool,
-    /// How long to wait for a change, in milliseconds.
-    wait_ms: u64,
-}
-
-impl Poll {
-    fn revision(&self, kind: Kind) -> Option<Revision> {
-        match kind {
-            Kind::Config => self.config,
-            Kind::Servers => self.servers,
-            Kind::Nodes => None,
-        }
-    }
-}
-
-/// What the asking node misses of one kind.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Update {
-    kind: Kind,
-    is_list: bool,
-    batch: Batch,
-}
-
-/// The answer to a poll.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct State {
-    /// What the asking node misses.
-    updates: Vec<Update>,
-    /// How long ago the registry confirmed the answering node's state of each kind, in
-    /// milliseconds, in the order of [`KINDS`].
-    ages_ms: [u64; 2],
-    /// How long ago the answering node saw the last outage of the registry end, in
-    /// milliseconds.
-    outage_age_ms: Option<u64>,
-    /// The registry's newest era that the answering node knows.
-    era: u64,
-    /// Whether the registry's list of the nodes in that era has the asking node, if the
-    /// answering node has such a list.
-    is_registered: Option<bool>,
-    /// The servers that leave or have left, for an asking node that is new.
-    leaving: Vec<Incarnation>,
-}
-
 /// The connections to the nodes that this one follows.
 type Links = HashMap<IpAddr, Link>;
 
@@ -143,7 +85,7 @@
             return serve::empty_answer(StatusCode::BAD_REQUEST, None);
         }
     };
-    let poll: Poll = match rmp_serde::from_slice(&body) {
+    let poll: Poll = match message::decode(&body) {
         Ok(poll) => poll,
         Err(error) => {
             log::warn!(target: "members", error:% = error; "A poll can't be decoded.");
@@ -174,8 +116,21 @@
         current.map(|listed| listed.addresses.contains(&poll.ip))
     };
     let leaving = if poll.is_new { process.fleet.borrow().drained().collect() } else { Vec::new() };
-    let state = State { updates, ages_ms, outage_age_ms, era, is_registered, leaving };
-    match rmp_serde::to_vec(&state) {
+    let evacuations_age_ms = process
+        .knows_evacuations()
+        .then(|| now.since(process.confirmed_at(Kind::Evacuations)).as_millis() as u64);
+    let held_evacuations = if poll.is_new { evacuations::held(&process) } else { Vec::new() };
+    let state = State {
+        updates,
+        ages_ms,
+        outage_age_ms,
+        era,
+        is_registered,
+        leaving,
+        evacuations_age_ms,
+        held_evacuations,
+    };
+    match message::encode(&state) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
         Err(error) => {
             log::error!(target: "members", error:% = error; "The registry's state can't be encoded.");
@@ -195,7 +150,7 @@
             Some(Update { kind, is_list: true, batch })
         }
     };
-    KINDS.into_iter().filter_map(of_kind).collect()
+    poll.kinds().filter_map(of_kind).collect()
 }
 
 /// A later version of the configuration than that of the asking node, whose state is not older:
@@ -220,6 +175,7 @@
             let fleet = process.fleet.borrow();
             fleet.registered().cloned().map(|entry| Event::Put(Item::Server(entry))).collect()
         }
+        Kind::Evacuations => evacuations::list(process),
         Kind::Nodes => Vec::new(),
     }
 }
@@ -304,9 +260,11 @@
             era: process.era.borrow().newest(),
             is_new,
             wait_ms: wait.as_millis() as u64,
+            knows_evacuations: process.has_evacuations(),
+            evacuations: revision(Kind::Evacuations),
         }
     };
-    let mut request = Request::new(Full::new(Bytes::from(rmp_serde::to_vec(&poll)?)));
+    let mut request = Request::new(Full::new(Bytes::from(message::encode(&poll)?)));
     *request.method_mut() = hyper::Method::POST;
     let host = hyper::http::HeaderValue::from_str(&ip.to_string())?;
     request.headers_mut().insert(hyper::header::HOST, host);
@@ -316,7 +274,7 @@
     }
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
-    Ok(rmp_serde::from_slice(&body)?)
+    Ok(message::decode(&body)?)
 }
 
 fn apply(process: &Process, state: State) {
@@ -333,6 +291,7 @@
     }
     process.is_config_compared.set(true);
     state.leaving.iter().for_each(|server| watcher::server_leaves(process, server));
+    evacuations::hold(process, &state.held_evacuations);
     if state.era < process.era.borrow().newest() {
         // What the registry confirmed to that node in an earlier era says nothing of this one.
         return;
@@ -343,12 +302,21 @@
     for (kind, age) in KINDS.into_iter().zip(state.ages_ms) {
         process.confirm(kind, now.before(Duration::from_millis(age)));
     }
+    if let Some(age) = state.evacuations_age_ms {
+        process.confirm(Kind::Evacuations, now.before(Duration::from_millis(age)));
+    }
 }
 
 /// Asks nodes one after another for their state, nearest first, and applies the first one: for
 /// a start while the registry does not answer.
 pub(crate) async fn fetch_state(process: &Process) {
-    ask_nodes(process, |state| !state.updates.is_empty()).await;
+    // A node of an earlier build does not know the evacuations; the next one may.
+    let needs_evacuations = process.has_evacuations() && !process.knows_evacuations();
+    let suffices = |state: &State| {
+        let has_evacuations = state.evacuations_age_ms.is_some();
+        !state.updates.is_empty() && (!needs_evacuations || has_evacuations)
+    };
+    ask_nodes(process, suffices).await;
 }
 
 /// Asks the nearest node for what it knows beyond the registry's list: after a return from a
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -53,6 +53,10 @@
         self.table.is_restricted(service, self.choice.homes)
     }
 
+    fn is_evacuated(&mut self, service: Service) -> bool {
+        self.table.is_evacuated(service)
+    }
+
     fn first_send(&mut self, now: Time, service: Service) {
         self.budget.first_send(now, service);
     }
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -10,11 +10,12 @@
 //!
 //! Invariants: a draining server is never chosen. Nor is one that turned requests away, until
 //! the time that it asked for is over; then single trials decide when it is used again. One that
-//! names a limit is chosen only within this node's part of it. One outside of a request's homes is
-//! never chosen for it. An index keeps its meaning while the process runs; another incarnation gets
-//! a new index.
+//! names a limit is chosen only within this node's part of it. One outside of a request's homes, or
+//! in an evacuated data centre, is not chosen. An index keeps its meaning while the process runs;
+//! another incarnation gets a new index.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -160,6 +161,8 @@
     servers_by_service: PrimaryMap<Service, Vec<Server>>,
     connection_limits: SecondaryMap<Service, u32>,
     by_key: HashMap<u32, Server>,
+    /// The evacuated data centres.
+    evacuated: HashSet<Arc<str>>,
     reach: Reach,
     /// The limited servers that a choice has looked at, and their costs.
     considered: Vec<(Duration, Server)>,
@@ -178,6 +181,7 @@
             servers_by_service: PrimaryMap::new(),
             connection_limits: SecondaryMap::new(),
             by_key: HashMap::new(),
+            evacuated: HashSet::new(),
             reach: Reach::default(),
             considered: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -288,6 +292,7 @@
         record.slots = entry.slots.max(1);
         record.entry_missing = false;
         record.in_use = true;
+        record.evacuated = self.evacuated.contains(&entry.data_centre);
         record.warmup_until = now + entry.warmup;
         if !self.servers_by_service[service].contains(&server) {
             self.servers_by_service[service].push(server);
@@ -295,6 +300,26 @@
         removed
     }
 
+    /// Sets whether the servers of `data_centre` must get no requests.
+    pub fn set_evacuated(&mut self, data_centre: &Arc<str>, is_evacuated: bool) {
+        if is_evacuated {
+            self.evacuated.insert(Arc::clone(data_centre));
+        } else {
+            self.evacuated.remove(data_centre);
+        }
+        for record in self.servers.values_mut() {
+            if record.data_centre == *data_centre {
+                record.evacuated = is_evacuated;
+            }
+        }
+    }
+
+    /// Whether all servers of `service` are in evacuated data centres.
+    pub fn is_evacuated(&self, service: Service) -> bool {
+        let servers = &self.servers_by_service[service];
+        !servers.is_empty() && servers.iter().all(|server| self.servers[*server].evacuated)
+    }
+
     fn remove_id(&mut self, id: &Arc<str>) -> Option<Server> {
         let incarnation = self.by_incarnation.keys().find(|known| known.id == *id).cloned()?;
         self.remove(&incarnation)
@@ -408,7 +433,7 @@
         for index in 0..self.servers_by_service[service].len() {
             let server = self.servers_by_service[service][index];
             let record = &self.servers[server];
-            let is_allowed = choice.homes.allows(record.region);
+            let is_allowed = choice.homes.allows(record.region) && !record.evacuated;
             if !is_allowed || tried.contains(&server) || !record.accepts(now) {
                 continue;
             }
@@ -439,11 +464,13 @@
         Some(Selection { server, expected_latency, saturated })
     }
 
-    /// Whether a server may still get a request that it was chosen for: it is in use, and has
-    /// turned none away since.
+    /// Whether a server may still get a request that it was chosen for: it is in use, has
+    /// turned none away since, and its data centre is not evacuated.
     pub fn may_send(&self, now: Time, server: Server) -> bool {
         let record = &self.servers[server];
-        record.in_use && record.trial_at().is_none_or(|trial_at| now >= trial_at)
+        record.in_use
+            && !record.evacuated
+            && record.trial_at().is_none_or(|trial_at| now >= trial_at)
     }
 
     /// Whether a request with these homes may be sent to a server.
@@ -457,9 +484,12 @@
         !homes.is_any() && self.servers_of(service).any(|server| !self.is_allowed(server, homes))
     }
 
-    /// The servers of a service that a request with these homes may be sent to.
+    /// The servers of a service that a request with these homes may be sent to, and whose data
+    /// centres are not evacuated.
     fn allowed(&self, service: Service, homes: region::Set) -> impl Iterator<Item = Server> {
-        self.servers_of(service).filter(move |server| self.is_allowed(*server, homes))
+        let is_evacuated = |server: Server| self.servers[server].evacuated;
+        self.servers_of(service)
+            .filter(move |server| self.is_allowed(*server, homes) && !is_evacuated(*server))
     }
 
     /// Records that a server wants no requests for the time `asked`.
@@ -533,7 +563,8 @@
     }
 
     /// When a service accepts a request with these homes again whose servers there all turn
-    /// requests away; `None` if it has no servers there or one of them accepts requests.
+    /// requests away; `None` if it has no servers there outside evacuated data centres, or one of
+    /// them accepts requests.
     pub fn accepts_at(&self, now: Time, service: Service, homes: region::Set) -> Option<Time> {
         let mut earliest: Option<Time> = None;
         for server in self.allowed(service, homes) {
