--- /dev/null
+++ b/crates/request/gather/tests/search_fleet.rs
@@ -0,0 +1,475 @@
+//! Nodes, searches and servers in virtual time: a search that ends each server that runs it, beside
+//! ordinary searches, and servers that end at the same moment for another reason.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashSet;
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use base::entity::Attempt;
+use base::entity::Server;
+use base::entity::Service;
+use base::time::Time;
+use gather::event::Action;
+use gather::event::Balancer;
+use gather::event::Completion;
+use gather::event::Event;
+use gather::event::Outcome;
+use gather::event::Response;
+use gather::machine::Machine;
+use gather::plan::Plan;
+use poison::identity::Identity;
+use poison::identity::Parts;
+use poison::ledger::Change;
+use poison::ledger::Ledger;
+use poison::ledger::Standing;
+use poison::notice::Notice;
+use replica::table::Selection;
+
+const MILLI: u64 = 1_000;
+const SECOND: u64 = 1_000 * MILLI;
+const REPLICAS: usize = 3;
+const DOWN_TIME: u64 = 3 * SECOND;
+const PROOF_TIME: u64 = 12 * MILLI;
+const REPEAT_DELAY: u64 = 50 * MILLI;
+const POISON_INTERVAL: u64 = 300 * MILLI;
+const ORDINARY_INTERVAL: u64 = 50 * MILLI;
+/// How long a run takes: servers end about 100 ms after its start, when the hedges of ordinary
+/// searches were due long ago.
+const POISON_TIME: Range<u64> = 60 * MILLI..120 * MILLI;
+const ORDINARY_TIME: Range<u64> = 10 * MILLI..30 * MILLI;
+const LOSS: f64 = 0.1;
+/// The identity of the search that is sent by many callers; the others are sent once.
+const POPULAR: u64 = 0;
+
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    seed: u64,
+    nodes: usize,
+    shards: usize,
+    seconds: u64,
+    /// The number of searches that end servers, which come in turn; none if zero.
+    poisons: u64,
+    /// How long after such an end a search that was never answered runs at one shard first.
+    canary_time: u64,
+    /// When servers end for another reason, and which fraction of them.
+    outage: Option<(u64, f64)>,
+}
+
+const SCENARIO: Scenario = Scenario {
+    seed: 1,
+    nodes: 6,
+    shards: 10,
+    seconds: 20,
+    poisons: 1,
+    canary_time: 0,
+    outage: None,
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Poison(u64),
+    Ordinary(u64),
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrive(Kind),
+    Wake { search: usize, at: u64 },
+    RunEnds { run: usize },
+    Outage,
+    ServerStarts(usize),
+    Proof { node: usize, server: u32, identities: Vec<Identity> },
+    Deliver { node: usize, message: usize },
+    Repeat { node: usize },
+}
+
+struct Search {
+    machine: Machine<()>,
+    kind: Kind,
+    identity: Identity,
+    node: usize,
+    arrived: u64,
+    answered: bool,
+    is_trial: bool,
+    wake: u64,
+}
+
+struct Run {
+    search: usize,
+    attempt: Attempt,
+    server: usize,
+    known: usize,
+    counts: bool,
+}
+
+/// The servers that are up, all idle.
+struct Servers<'a> {
+    keys: &'a [Option<u32>],
+    rng: &'a mut ChaCha8Rng,
+    standing: Standing,
+}
+
+impl Balancer for Servers<'_> {
+    fn choose(
+        &mut self,
+        _now: Time,
+        service: Service,
+        usual: Duration,
+        tried: &[Server],
+    ) -> Option<Selection> {
+        let first = service.as_u32() * REPLICAS as u32;
+        let servers = (first..first + REPLICAS as u32).map(Server::from_u32);
+        let is_free = |s: &Server| self.keys[s.as_u32() as usize].is_some() && !tried.contains(s);
+        let up: Vec<Server> = servers.filter(is_free).collect();
+        let server = *up.get(self.rng.random_range(0..up.len().max(1)))?;
+        Some(Selection { server, expected_latency: usual, saturated: false })
+    }
+
+    fn accepts_at(&mut self, _now: Time, _service: Service) -> Option<Time> {
+        None
+    }
+
+    fn standing(&mut self, _now: Time) -> Standing {
+        self.standing
+    }
+
+    fn first_send(&mut self, _now: Time, _service: Service) {}
+
+    fn used_fraction(&mut self, _now: Time, _service: Service) -> f64 {
+        0.0
+    }
+
+    fn take_extra(&mut self, _now: Time, _service: Service) -> bool {
+        true
+    }
+
+    fn refund(&mut self, _now: Time, _service: Service, _taken: Time) {}
+}
+
+#[derive(Debug, Default)]
+struct Summary {
+    /// The servers that searches ended, by shard.
+    ended: Vec<usize>,
+    served: usize,
+    failed: usize,
+    refused: usize,
+    /// The time from arrival to answer of each ordinary search that was served.
+    latencies: Vec<u64>,
+    /// The latest response to an ordinary search that had no answer.
+    last_lost: u64,
+}
+
+impl Summary {
+    fn total(&self) -> usize {
+        self.ended.iter().sum()
+    }
+
+    fn lost(&self) -> usize {
+        self.failed + self.refused
+    }
+}
+
+struct Model {
+    scenario: Scenario,
+    rng: ChaCha8Rng,
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, Step)>>,
+    count: u64,
+    ledgers: Vec<Ledger>,
+    answered: HashSet<Identity>,
+    last_burst: Option<u64>,
+    /// The key of each server's present incarnation; `None` while it is down.
+    keys: Vec<Option<u32>>,
+    next_key: u32,
+    searches: Vec<Search>,
+    runs: Vec<Option<Run>>,
+    messages: Vec<Vec<Notice>>,
+    summary: Summary,
+}
+
+impl Model {
+    fn run(scenario: Scenario) -> Summary {
+        let mut rng = ChaCha8Rng::seed_from_u64(scenario.seed);
+        let servers = scenario.shards * REPLICAS;
+        let mut model = Self {
+            scenario,
+            ledgers: (0..scenario.nodes).map(|_| Ledger::new(rng.random())).collect(),
+            rng,
+            now: 0,
+            queue: BinaryHeap::new(),
+            count: 0,
+            answered: HashSet::new(),
+            last_burst: None,
+            keys: (0..servers as u32).map(Some).collect(),
+            next_key: servers as u32,
+            searches: Vec::new(),
+            runs: Vec::new(),
+            messages: Vec::new(),
+            summary: Summary { ended: vec![0; scenario.shards], ..Summary::default() },
+        };
+        model.draw();
+        while let Some(Reverse((now, _, step))) = model.queue.pop() {
+            model.now = now;
+            model.step(step);
+        }
+        model.summary
+    }
+
+    fn draw(&mut self) {
+        let end = self.scenario.seconds * SECOND;
+        for number in 1..end / ORDINARY_INTERVAL {
+            let is_popular = self.rng.random_bool(1.0 / 3.0);
+            let jitter = self.rng.random_range(0..ORDINARY_INTERVAL);
+            let kind = Kind::Ordinary(if is_popular { POPULAR } else { number });
+            self.push(number * ORDINARY_INTERVAL + jitter, Step::Arrive(kind));
+        }
+        for number in 1..end / POISON_INTERVAL {
+            if let Some(poison) = number.checked_rem(self.scenario.poisons) {
+                let at = number * POISON_INTERVAL + self.rng.random_range(0..60 * MILLI);
+                self.push(at, Step::Arrive(Kind::Poison(poison)));
+            }
+        }
+        if let Some((at, _)) = self.scenario.outage {
+            self.push(at, Step::Outage);
+        }
+    }
+
+    fn push(&mut self, at: u64, step: Step) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count, step)));
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive(kind) => self.arrive(kind),
+            Step::Wake { search, at } if self.searches[search].wake == at => {
+                self.handle(search, Event::Timer)
+            }
+            Step::Wake { .. } => {}
+            Step::RunEnds { run } => self.run_ends(run),
+            Step::Outage => {
+                let fraction = self.scenario.outage.map_or(0.0, |(_, fraction)| fraction);
+                for server in 0..self.keys.len() {
+                    if self.rng.random_bool(fraction) {
+                        self.end_server(server);
+                    }
+                }
+            }
+            Step::ServerStarts(server) => {
+                self.keys[server] = Some(self.next_key);
+                self.next_key += 1;
+            }
+            Step::Proof { node, server, identities } => {
+                for identity in identities {
+                    let now = Time(self.now);
+                    let change = self.ledgers[node].server_ended(now, identity, server);
+                    self.on_change(node, change);
+                }
+            }
+            Step::Deliver { node, message } => {
+                for notice in &self.messages[message] {
+                    self.ledgers[node].on_notice(Time(self.now), notice);
+                }
+            }
+            Step::Repeat { node } => self.send(node),
+        }
+    }
+
+    fn arrive(&mut self, kind: Kind) {
+        let node = self.rng.random_range(0..self.scenario.nodes);
+        let path = format!("{kind:?}");
+        let parts = Parts { method: "GET", host: b"h", path: &path, caller: &[], body: b"" };
+        let identity = Identity::new(&parts);
+        let now = Time(self.now);
+        let is_trial = self.ledgers[node].standing(now, identity) == Standing::TrialDue;
+        if is_trial {
+            self.ledgers[node].begin_trial(now, identity);
+            self.on_change(node, Change::Suspected { ends: 0 });
+        }
+        let plan = Plan {
+            services: (0..self.scenario.shards as u32).map(Service::from_u32).collect(),
+            min_services: self.scenario.shards,
+            idempotent: true,
+            max_attempts: 2,
+            soft_deadline: now + Duration::from_millis(500),
+            deadline: now + Duration::from_millis(900),
+            usual_service_time: Duration::from_millis(20),
+            own_work: Duration::ZERO,
+        };
+        let arrived = self.now;
+        let machine = Machine::new(plan);
+        let wake = u64::MAX;
+        let answered = false;
+        self.searches.push(Search {
+            machine,
+            kind,
+            identity,
+            node,
+            arrived,
+            answered,
+            is_trial,
+            wake,
+        });
+        self.handle(self.searches.len() - 1, Event::Start);
+    }
+
+    fn standing(&self, search: &Search) -> Standing {
+        if search.is_trial {
+            return Standing::Suspect;
+        }
+        let standing = self.ledgers[search.node].standing(Time(self.now), search.identity);
+        let is_recent = |at| self.now < at + self.scenario.canary_time;
+        let is_canary =
+            self.last_burst.is_some_and(is_recent) && !self.answered.contains(&search.identity);
+        if standing == Standing::Clear && is_canary { Standing::Suspect } else { standing }
+    }
+
+    fn handle(&mut self, index: usize, event: Event<()>) {
+        let standing = self.standing(&self.searches[index]);
+        let mut balancer = Servers { keys: &self.keys, rng: &mut self.rng, standing };
+        let mut actions = Vec::new();
+        let machine = &mut self.searches[index].machine;
+        machine.handle(Time(self.now), event, &mut balancer, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { attempt, selection, .. } => {
+                    self.start_run(index, attempt, selection)
+                }
+                Action::Wake(at) => {
+                    let at = at.0.max(self.now);
+                    self.searches[index].wake = at;
+                    self.push(at, Step::Wake { search: index, at });
+                }
+                Action::Finish(response) => self.finish(index, response),
+            }
+        }
+    }
+
+    fn start_run(&mut self, index: usize, attempt: Attempt, selection: Selection) {
+        let search = &mut self.searches[index];
+        search.is_trial = false;
+        let ledger = &mut self.ledgers[search.node];
+        let known = ledger.ends(search.identity);
+        let counts = ledger.run_begins(Time(self.now), search.identity);
+        let server = selection.server.as_u32() as usize;
+        self.runs.push(Some(Run { search: index, attempt, server, known, counts }));
+        let is_poison = matches!(search.kind, Kind::Poison(_));
+        let takes = if is_poison { POISON_TIME } else { ORDINARY_TIME };
+        let takes = self.rng.random_range(takes);
+        self.push(self.now + takes, Step::RunEnds { run: self.runs.len() - 1 });
+    }
+
+    fn run_ends(&mut self, run: usize) {
+        let Some(Run { search, server, .. }) = self.runs[run] else { return };
+        if matches!(self.searches[search].kind, Kind::Poison(_)) {
+            self.summary.ended[server / REPLICAS] += 1;
+            self.last_burst = Some(self.now);
+            return self.end_server(server);
+        }
+        let Some(Run { attempt, counts, .. }) = self.runs[run].take() else { return };
+        let (node, identity) = (self.searches[search].node, self.searches[search].identity);
+        self.searches[search].answered = true;
+        self.answered.insert(identity);
+        if counts {
+            self.ledgers[node].run_ends(identity);
+        }
+        let change = self.ledgers[node].answered(Time(self.now), identity);
+        self.on_change(node, change);
+        self.handle(search, Event::Answered { attempt, reply: () });
+    }
+
+    fn end_server(&mut self, server: usize) {
+        let Some(key) = self.keys[server].take() else { return };
+        self.push(self.now + DOWN_TIME, Step::ServerStarts(server));
+        let mut proofs: Vec<Vec<Identity>> = vec![Vec::new(); self.scenario.nodes];
+        let mut broken = Vec::new();
+        for run in &mut self.runs {
+            broken.extend(run.take_if(|run| run.server == server));
+        }
+        for run in &broken {
+            let search = &self.searches[run.search];
+            let ledger = &mut self.ledgers[search.node];
+            if run.counts {
+                ledger.run_ends(search.identity);
+            }
+            if !search.answered {
+                ledger.broke_off(Time(self.now), search.identity, key, run.known);
+            }
+            proofs[search.node].push(search.identity);
+        }
+        for (node, identities) in proofs.into_iter().enumerate().filter(|(_, i)| !i.is_empty()) {
+            self.push(self.now + PROOF_TIME, Step::Proof { node, server: key, identities });
+        }
+        for Run { search, attempt, .. } in broken {
+            self.handle(search, Event::Ended { attempt, completion: Completion::Unknown });
+        }
+    }
+
+    fn finish(&mut self, index: usize, response: Response<()>) {
+        let search = &self.searches[index];
+        if matches!(search.kind, Kind::Poison(_)) {
+            return;
+        }
+        match response.outcome {
+            Outcome::Answer(_) => {
+                self.summary.served += 1;
+                self.summary.latencies.push(self.now - search.arrived);
+                return;
+            }
+            Outcome::NotRun => self.summary.refused += 1,
+            _ => self.summary.failed += 1,
+        }
+        self.summary.last_lost = self.now;
+    }
+
+    fn on_change(&mut self, node: usize, change: Change) {
+        if change != Change::Nothing {
+            self.send(node);
+            self.push(self.now + REPEAT_DELAY, Step::Repeat { node });
+        }
+    }
+
+    fn send(&mut self, from: usize) {
+        let message = self.messages.len();
+        self.messages.push(self.ledgers[from].notices(Time(self.now), self.now / SECOND));
+        for node in (0..self.scenario.nodes).filter(|node| *node != from) {
+            if !self.rng.random_bool(LOSS) {
+                let delay = self.rng.random_range(MILLI..20 * MILLI);
+                self.push(self.now + delay, Step::Deliver { node, message });
+            }
+        }
+    }
+}
+
+/// Guards against shard requests that are sent again, here or at other nodes, though others of the
+/// same search have ended their servers.
+#[test]
+fn search_ends_one_server_of_each_shard_and_few_more() {
+    let mut too_many = false;
+    for shards in [10, 36] {
+        for nodes in [1, 6, 18] {
+            let (mut most, mut sum, mut most_of_shard, mut lost, mut all) = (0, 0, 0, 0, 0);
+            for seed in 0..20 {
+                let summary = Model::run(Scenario { seed, nodes, shards, ..SCENARIO });
+                most = most.max(summary.total());
+                sum += summary.total();
+                most_of_shard = most_of_shard.max(summary.ended.iter().copied().max().unwrap_or(0));
+                lost += summary.lost();
+                all += summary.lost() + summary.served;
+            }
+            println!(
+                "{shards} shards, {nodes} nodes: {most} ended at most, {:.1} on average, \
+                 {most_of_shard} of one shard; {lost} of {all} ordinary searches lost",
+                f64::from(sum as u32) / 20.0
+            );
+            too_many |= most > shards + 4;
+        }
+    }
+    assert!(!too_many, "more than four servers beyond one of each shard ended");
+}
