--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -88,6 +88,9 @@
 const LEARNING_TIME: Duration = Duration::from_millis(1000);
 /// How long a node counts as using a key after its last use.
 const ACTIVE_TIME: Duration = Duration::from_millis(1500);
+/// How long a standby node is surely told of others' use after its own: somewhat less than the 20 s
+/// for which they remember its reports.
+const TOLD_TIME: Duration = Duration::from_secs(15);
 /// How long the counts of a key are kept after its last use at any node.
 const KEPT_TIME: Duration = Duration::from_secs(60);
 /// A node that begins to use a key, while the fleet's demand is below the rate, may have the requests
@@ -132,13 +135,18 @@
     used_at: Option<Time>,
     active_since: Time,
     counts: Vec<Count>,
+    /// When a standby node, which is not told of others' use before it reports some, began to use
+    /// it.
+    learning_since: Option<Time>,
     /// The division that this entry's share and access are of.
     divided: Option<u64>,
     /// This node's share of the rate and that of all silent nodes, as fractions.
     fractions: (f64, f64),
     /// How often the present count is still to be sent.
     sends_left: u32,
+    /// Whether it is in the queue of counts that were not sent yet, and of those to be repeated.
     is_queued: bool,
+    is_repeated: bool,
 }
 
 impl Entry {
@@ -151,10 +159,12 @@
             used_at: None,
             active_since: now,
             counts: Vec::new(),
+            learning_since: None,
             divided: None,
             fractions: (0.0, 0.0),
             sends_left: 0,
             is_queued: false,
+            is_repeated: false,
         }
     }
 
@@ -172,6 +182,10 @@
         is_first
     }
 
+    fn is_learning(&self, now: Time) -> bool {
+        self.learning_since.is_some_and(|since| now.since(since) < LEARNING_TIME)
+    }
+
     /// When this node or another one last used it.
     fn last_use(&self) -> Option<Time> {
         self.counts.iter().map(|count| count.used_at).chain(self.used_at).max()
@@ -283,10 +297,9 @@
 
     /// Removes a key; its requests are admitted without a limit.
     pub fn remove(&mut self, key: u32) {
+        // Reports pass over it in the queues.
         self.entries.remove(&key);
         self.active.remove(&key);
-        self.fresh.retain(|queued| *queued != key);
-        self.repeated.retain(|queued| *queued != key);
     }
 
     /// The keys that have a rate.
@@ -304,10 +317,11 @@
     pub fn take(&mut self, now: Time, key: u32) -> Result<(), Time> {
         let Some(entry) = self.entries.get_mut(&key) else { return Ok(()) };
         let is_open = self.nodes.is_open(now);
-        let was_known = entry.last_use().is_some_and(|at| now.since(at) < KEPT_TIME);
+        let is_told = entry.used_at.is_some_and(|at| now.since(at) < TOLD_TIME);
         let is_first = entry.mark_use(now);
         self.active.insert(key);
-        if is_first && !self.nodes.is_serving && self.nodes.divided_at.is_some() && !was_known {
+        if !is_told && !self.nodes.is_serving && self.nodes.divided_at.is_some() {
+            entry.learning_since = Some(now);
             entry.lower(now, STANDBY_LEVEL);
         }
         // A frozen process may be called before `divide`.
@@ -364,7 +378,12 @@
         let fresh = self.fresh.len().min(MAX_USAGES);
         keys.extend(self.fresh.drain(..fresh));
         let repeated = self.repeated.len().min(self.round_left).min(MAX_USAGES - fresh);
-        keys.extend(self.repeated.drain(..repeated));
+        for key in self.repeated.drain(..repeated) {
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.is_repeated = false;
+            }
+            keys.push(key);
+        }
         self.round_left = self.round_left.saturating_sub(keys.len());
         if self.fresh.is_empty() {
             self.is_urgent = false;
@@ -379,7 +398,8 @@
             usages.push(Usage { key, used: entry.used, demand, level });
             entry.is_queued = false;
             entry.sends_left = entry.sends_left.saturating_sub(1);
-            if entry.sends_left > 0 && !self.repeated.contains(&key) {
+            if entry.sends_left > 0 && !entry.is_repeated {
+                entry.is_repeated = true;
                 self.repeated.push_back(key);
             }
         }
@@ -392,6 +412,7 @@
         for reported in usage {
             let Some(entry) = self.entries.get_mut(&reported.key) else { continue };
             self.active.insert(reported.key);
+            let is_learning = is_learning || entry.is_learning(now);
             let level = f64::from(reported.level);
             let count = Count {
                 node,
@@ -511,7 +532,8 @@
     let competitors = if is_new { nodes.count().max(users) } else { users };
     let demand = entry.limit.demand();
     let all = demand + others_demand;
-    let is_learning = nodes.divided_at.is_some() && nodes.is_learning(now);
+    let is_learning =
+        nodes.divided_at.is_some() && (nodes.is_learning(now) || entry.is_learning(now));
     let is_calm = !is_learning && all <= rate.per_second;
     let least = if is_new && is_calm { 1.0 + rate.per_second * NEW_USE.as_secs_f64() } else { 1.0 };
     let access = Access {
