share: a part of the tolerance is granted as a higher rate

Four tenths of the tolerance are now part of the rate; the rest covers what nodes don't know of each other.

--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -155,9 +155,8 @@
     /// Whether there is a configuration, and its customers' keys were compared with the registry.
     fn is_configured(&self) -> bool {
         let router = self.router.borrow();
-        let is_current = |router: &Rc<Router>| {
-            router.customers.is_none() || self.is_config_compared.get()
-        };
+        let is_current =
+            |router: &Rc<Router>| router.customers.is_none() || self.is_config_compared.get();
         router.as_ref().is_some_and(is_current)
     }
 
--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -93,6 +93,8 @@
 const NEW_USE: Duration = Duration::from_millis(100);
 /// The maximum number of nodes whose counts of a key are kept.
 const MAX_NODES: usize = 512;
+/// The fraction of the tolerance that is granted as a higher rate.
+const GRANTED_FRACTION: f64 = 0.4;
 /// The shares of all nodes together keep the tokens of this fraction of the tolerance.
 const SHARE_FRACTION: f64 = 0.5;
 /// The tokens that a small share keeps, see [`crate::limit::burst`].
@@ -100,6 +102,23 @@
 /// The unreported requests that a standby node may start with.
 const STANDBY_LEVEL: f64 = 2.0;
 
+/// How a key's bound is used: a part of the tolerance is granted as a higher rate, since a request
+/// within the bound need not be refused; the rest is for what nodes don't know of each other.
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    rate: Rate,
+    tolerance: f64,
+}
+
+impl Grant {
+    fn new(bound: &Bound, rate: Rate) -> Self {
+        let tolerance = bound.tolerance(rate.per_second, rate.burst);
+        let granted = tolerance * GRANTED_FRACTION;
+        let per_second = rate.per_second + granted / bound.window.as_secs_f64();
+        Self { rate: Rate { per_second, ..rate }, tolerance: tolerance - granted }
+    }
+}
+
 /// What another node has reported of a key.
 #[derive(Clone, Copy, Debug)]
 struct Count {
@@ -122,7 +141,9 @@
 /// What is known of one key.
 #[derive(Clone, Debug)]
 struct Entry {
+    /// What is granted of the rate and the tolerance, see [`Grant`].
     rate: Rate,
+    tolerance: f64,
     limit: Limit,
     /// This node's count, see [`Usage::used`].
     used: u32,
@@ -149,6 +170,7 @@
         let common = Common::new(now, rate, tolerance);
         Self {
             rate,
+            tolerance,
             limit: Limit::new(now, now, rate.per_second).with_common(common),
             used: 0,
             used_at: None,
@@ -279,15 +301,16 @@
 
     /// Sets the rate of a key, new or known.
     pub fn set_rate(&mut self, now: Time, key: u32, rate: Rate) {
-        let tolerance = self.bound.tolerance(rate.per_second, rate.burst);
+        let Grant { rate, tolerance } = Grant::new(&self.bound, rate);
         let entry = self.entries.entry(key).or_insert_with(|| Entry::new(now, rate, tolerance));
         entry.rate = rate;
+        entry.tolerance = tolerance;
         entry.divided = None;
         entry.limit.per_second = rate.per_second;
         if let Some(common) = entry.limit.common_mut() {
             common.set_rate(now, rate, tolerance);
         }
-        refresh(&self.nodes, &self.bound, now, key, entry);
+        refresh(&self.nodes, now, key, entry);
     }
 
     /// Removes a key; its requests are admitted without a limit.
@@ -321,7 +344,7 @@
         }
         // A frozen process may be called before `divide`.
         if is_first || entry.divided != Some(self.nodes.number) || !is_open {
-            refresh(&self.nodes, &self.bound, now, key, entry);
+            refresh(&self.nodes, now, key, entry);
         }
         entry.limit.ask();
         if !entry.limit.admits(now, false) {
@@ -443,7 +466,7 @@
                     common.lower(now, level);
                 }
             }
-            refresh(&self.nodes, &self.bound, now, reported.key, entry);
+            refresh(&self.nodes, now, reported.key, entry);
         }
     }
 
@@ -474,11 +497,11 @@
         }
         nodes.silent =
             others.iter().filter(|peer| !peer.is_present).map(|peer| hash(peer.ip)).collect();
-        let (nodes, bound, entries) = (&self.nodes, &self.bound, &mut self.entries);
+        let (nodes, entries) = (&self.nodes, &mut self.entries);
         self.active.retain(|key| {
             let Some(entry) = entries.get_mut(key) else { return false };
             entry.limit.meter(now);
-            refresh(nodes, bound, now, *key, entry);
+            refresh(nodes, now, *key, entry);
             let is_kept = entry.last_use().is_some_and(|at| now.since(at) < KEPT_TIME);
             if !is_kept {
                 entry.counts = Vec::new();
@@ -509,11 +532,10 @@
 }
 
 /// Decides again this node's share of a key and its access to the common bucket.
-fn refresh(nodes: &Nodes, bound: &Bound, now: Time, key: u32, entry: &mut Entry) {
+fn refresh(nodes: &Nodes, now: Time, key: u32, entry: &mut Entry) {
     let rate = entry.rate;
     if entry.divided != Some(nodes.number) {
-        let tolerance = bound.tolerance(rate.per_second, rate.burst);
-        entry.fractions = nodes.fractions(key, tolerance);
+        entry.fractions = nodes.fractions(key, entry.tolerance);
         entry.divided = Some(nodes.number);
     }
     let (own, silent) = entry.fractions;
