replica, entry, share: cold servers get no more than they bear

A server that has just started crashes well above the rate that its service states. While a server is cold, each serving node keeps to its part of that rate with tokens of a second limit; the part is divided like that of limits that servers name, its demand is reported under a key of its own, and standby nodes get none. Few nodes get a part and keep few tokens, so that the sum of all nodes stays within the bound in any second. Entries and the header Heatherseam-Warmup-Ms begin, renew and end it; a server that accepts connections after it refused them, and the servers of a data centre that returns from an evacuation, count as cold for the service's warmup. A deployment without the bound has no such limits.

--- a/crates/process/entry/src/evacuations.rs
+++ b/crates/process/entry/src/evacuations.rs
@@ -81,7 +81,9 @@
                 log::warn!(target: "servers", data_centre = name.as_ref(), era = origin.era, revision = origin.revision, source; "A data centre is evacuated; its servers get no requests.");
             }
             Change::Ended(name) => {
-                process.table.borrow_mut().set_evacuated(name, false);
+                let mut table = process.table.borrow_mut();
+                table.set_evacuated(name, false);
+                table.returned(process.clock.now(), name);
                 log::warn!(target: "servers", data_centre = name.as_ref(), source; "The evacuation of a data centre ended; its servers get requests again.");
             }
         }
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -279,6 +279,13 @@
     if !process.table.borrow().may_send(now, server) {
         return AttemptOutcome::NotSent("it is leaving, evacuated, or wants no requests");
     }
+    {
+        let mut table = process.table.borrow_mut();
+        table.accepted(now, server);
+        if !table.has_token(now, server, guard.started) {
+            return AttemptOutcome::NotSent("it is cold");
+        }
+    }
     let left = caller_request.caller_deadline.since(now);
     if left.is_zero() {
         return AttemptOutcome::NotSent("the time is up");
@@ -331,6 +338,9 @@
     }
     if !reply_headers.misdirected {
         limits::on_reply(process, server, now, reply_headers.limit);
+        if let Some(left) = reply_headers.warmup {
+            limits::on_warmup(process, server, left);
+        }
     }
     if let Some(asked) = reply_headers.retry_after {
         let now = process.clock.now();
--- a/crates/process/entry/src/limits.rs
+++ b/crates/process/entry/src/limits.rs
@@ -6,6 +6,7 @@
 use crate::process::Process;
 use base::entity::Server;
 use base::time::Time;
+use replica::cold;
 use replica::limit::Change;
 use replica::limit::Stated;
 use replica::record::Record;
@@ -42,6 +43,18 @@
     }
 }
 
+/// Takes note of how much longer a server is cold, as its reply states.
+pub(crate) fn on_warmup(process: &Process, server: Server, left: Duration) {
+    let now = process.clock.now();
+    let mut table = process.table.borrow_mut();
+    let before = table.record(server).cold(now).is_some();
+    table.set_warmup_left(now, server, left);
+    let is_cold = table.record(server).cold(now).is_some();
+    if before != is_cold {
+        log::info!(target: "servers", server = table.record(server).incarnation.id.as_ref(), is_cold, left_ms = left.as_millis() as u64; "A server is cold, or no longer.");
+    }
+}
+
 /// Logs how many requests this node has sent to each server that names a limit.
 pub(crate) fn report(process: &Process) {
     let now = process.clock.now();
@@ -74,7 +87,24 @@
         let others = members.claims(now, server, &record.data_centre);
         part::serving(limit.per_second, server, claim, &others, shares.standby_nodes)
     };
-    process.table.borrow_mut().divide_limits(now, quota);
+    let cold_quota = |key: u32, record: &Record, limit: &Limit| -> Quota {
+        if !shares.serving {
+            return Quota::default();
+        }
+        let claim = Claim {
+            ip: own.ip,
+            is_near: own.data_centre == record.data_centre,
+            is_present: true,
+            demand: Some(limit.demand()),
+        };
+        cold::quota(limit, key, claim, &members.claims(now, key, &record.data_centre))
+    };
+    let mut table = process.table.borrow_mut();
+    table.divide_limits(now, quota);
+    table.divide_cold(now, cold_quota);
+    if process.settings.warmup.is_some() {
+        process.metrics.record_cold(table.cold(now).count());
+    }
 }
 
 /// What this node reports of limits. If a heartbeat can't hold all, each one begins at a random
@@ -83,13 +113,15 @@
     let now = process.clock.now();
     let mut table = process.table.borrow_mut();
     let start = table.random_fraction();
-    let report = |(server, limit): (Server, &Limit)| Report {
-        server: table.key(server),
+    let report = |server: u32, limit: &Limit| Report {
+        server,
         per_second: limit.per_second as f32,
         demand: limit.demand() as f32,
         age_ms: limit.age(now).as_millis().try_into().unwrap_or(u32::MAX),
     };
-    let mut reports: Vec<Report> = table.limited().map(report).collect();
+    let limits = table.limited().map(|(server, limit)| report(table.key(server), limit));
+    let cold = table.cold(now).map(|(server, limit)| report(table.cold_key(server), limit));
+    let mut reports: Vec<Report> = limits.chain(cold).collect();
     if reports.len() > part::MAX_REPORTS {
         reports.sort_by_key(|report| report.server);
         let middle = (start * reports.len() as f64) as usize % reports.len();
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -44,6 +44,7 @@
     peer_polls: Counter<u64>,
     reach: Gauge<u64>,
     evacuated: Gauge<u64>,
+    cold_servers: Gauge<u64>,
     registry_era: Gauge<u64>,
     registry_revision: Gauge<u64>,
     config_version: Gauge<u64>,
@@ -75,6 +76,7 @@
             limited_sends: meter.u64_counter("heatherseam_limited_sends").build(),
             peer_polls: meter.u64_counter("heatherseam_peer_polls").build(),
             registry_calls: meter.u64_counter("heatherseam_registry_calls").build(),
+            cold_servers: meter.u64_gauge("heatherseam_cold_servers").build(),
             evacuated: meter.u64_gauge("heatherseam_evacuated_data_centres").build(),
             reach: meter.u64_gauge("heatherseam_services_reached_percent").build(),
             registry_era: meter.u64_gauge("heatherseam_registry_era").build(),
@@ -163,6 +165,11 @@
         self.evacuated.record(data_centres as u64, &[]);
     }
 
+    /// Records how many servers are cold whose services name a bound.
+    pub(crate) fn record_cold(&self, servers: usize) {
+        self.cold_servers.record(servers as u64, &[]);
+    }
+
     /// Records the registry's newest era.
     pub(crate) fn record_era(&self, era: u64) {
         self.registry_era.record(era, &[]);
--- a/crates/process/entry/src/protocol.rs
+++ b/crates/process/entry/src/protocol.rs
@@ -38,6 +38,8 @@
     pub retry_after: Option<Duration>,
     /// What it says about a limit on the requests per second from all nodes.
     pub limit: Stated,
+    /// How much longer the server is cold, if it states that.
+    pub warmup: Option<Duration>,
     /// Whether the server leaves and must get no more requests.
     pub leaving: bool,
     /// The id of the server that replied, if it states one.
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -30,6 +30,7 @@
 use crate::revision::Revision;
 use crate::shares::Shares;
 use crate::source::Source;
+use replica::cold::Warmup;
 use site::config::Config;
 use site::fleet;
 use site::fleet::Change;
@@ -375,10 +376,15 @@
         return;
     }
     let router = {
+        let now = process.clock.now();
         let mut table = process.table.borrow_mut();
         for service in &config.services {
             let service_id = table.intern_service(&service.name);
             table.set_connection_limit(service_id, service.connections);
+            if process.settings.warmup.is_some() {
+                let (time, per_second) = (service.warmup, service.warmup_per_second);
+                table.set_warmup(now, service_id, Warmup { time, per_second });
+            }
         }
         let regions = table.regions().clone();
         Router::new(config, &regions, |name| table.intern_service(name))
--- a/crates/process/entry/tests/limit_division.rs
+++ b/crates/process/entry/tests/limit_division.rs
@@ -22,10 +22,13 @@
 use entry::members::Heartbeat;
 use entry::members::Members;
 use entry::members::Peer;
+use replica::cold;
+use replica::cold::Warmup;
 use replica::limit::Stated;
 use replica::record::Record;
 use replica::table::Observation;
 use replica::table::Table;
+use share::bound::Bound;
 use share::limit::Limit;
 use share::part;
 use share::part::Claim;
@@ -52,6 +55,8 @@
     runs: fn(number: usize, seconds: f64) -> bool,
     /// The fraction of the heartbeats that are lost.
     loss: f64,
+    /// What each server bears because it is cold; `None` if they are warm.
+    cold: Option<f64>,
     seconds: u64,
 }
 
@@ -63,6 +68,7 @@
             demand: |_, _| 20.0,
             runs: |_, _| true,
             loss: 0.02,
+            cold: None,
             seconds: 24,
         }
     }
@@ -96,6 +102,27 @@
         }
     }
 
+    /// Checks that each server got at most one and a half times what it bears while it is cold, and
+    /// 5, in any second. Returns the least fraction of it that a server got in the last two thirds.
+    fn assert_within_warmup(&self, pattern: &str) -> f64 {
+        let bears = self.scenario.cold.expect("cold servers");
+        let bound = Bound { window: Duration::from_secs(1), factor: 1.5, slack: 5.0 };
+        let from = Time::ZERO + Duration::from_secs(self.scenario.seconds / 3);
+        let seconds = (self.scenario.seconds - self.scenario.seconds / 3) as f64;
+        let mut least = f64::INFINITY;
+        for times in &self.arrivals {
+            let within = |first: usize| {
+                times[first..].iter().take_while(|at| at.since(times[first]) < bound.window).count()
+            };
+            let most = (0..times.len()).map(within).max().unwrap_or_default();
+            let allowed = bound.requests(bears, 0.0);
+            assert!(most as f64 <= allowed, "{pattern}: {most} in a second at {bears}");
+            let sent = times.iter().filter(|at| **at >= from).count() as f64;
+            least = least.min(sent / seconds / bears);
+        }
+        least
+    }
+
     /// The fraction of a server's limit that was used in the last two thirds of the time.
     fn used_fraction(&self, server: usize) -> f64 {
         let from = Time::ZERO + Duration::from_secs(self.scenario.seconds / 3);
@@ -118,13 +145,17 @@
 }
 
 impl Node {
-    fn new(now: Time, peer: &Peer, others: &[Peer], servers: usize) -> Self {
+    fn new(now: Time, peer: &Peer, others: &[Peer], scenario: &Scenario) -> Self {
         let data_centre = DATA_CENTRES.iter().position(|(name, _)| *name == &*peer.data_centre);
         let mut table = Table::new(
             locality(data_centre.unwrap_or_default()),
             peer.rank().1.to_string().len() as u64,
         );
-        for number in 0..servers {
+        let service = table.intern_service(&Arc::from("desk"));
+        let time = scenario.cold.map_or(Duration::ZERO, |_| Duration::from_secs(3600));
+        let per_second = scenario.cold.unwrap_or_default();
+        table.set_warmup(Time::ZERO, service, Warmup { time, per_second });
+        for number in 0..scenario.limits.len() {
             let entry = Entry {
                 incarnation: Incarnation { id: Arc::from(format!("s{number}")), born: 1 },
                 service: Arc::from("desk"),
@@ -132,11 +163,10 @@
                 data_centre: Arc::from(DATA_CENTRES[number % DATA_CENTRES.len()].0),
                 slots: 64,
                 draining: false,
-                warmup: Duration::ZERO,
+                warmup: time,
             };
             table.apply(Time::ZERO, &Change::Up(entry));
         }
-        let service = table.intern_service(&Arc::from("desk"));
         let servers = table.servers_of(service).collect();
         let mut members = members(peer);
         others.iter().for_each(|other| members.add_peer(other.clone()));
@@ -170,17 +200,29 @@
             let others = members.claims(now, server, &record.data_centre);
             part::serving(limit.per_second, server, claim, &others, 0)
         };
+        let cold_quota = |key: u32, record: &Record, limit: &Limit| {
+            let claim = Claim {
+                ip: own.ip,
+                is_near: own.data_centre == record.data_centre,
+                is_present: true,
+                demand: Some(limit.demand()),
+            };
+            cold::quota(limit, key, claim, &members.claims(now, key, &record.data_centre))
+        };
         self.table.divide_limits(now, quota);
+        self.table.divide_cold(now, cold_quota);
     }
 
     fn heartbeat(&self, now: Time) -> Heartbeat {
-        let report = |(server, limit): (Server, &Limit)| Report {
-            server: self.table.key(server),
+        let report = |server: u32, limit: &Limit| Report {
+            server,
             per_second: limit.per_second as f32,
             demand: limit.demand() as f32,
             age_ms: limit.age(now).as_millis() as u32,
         };
-        let limits = self.table.limited().map(report).collect();
+        let named = self.table.limited().map(|(s, limit)| report(self.table.key(s), limit));
+        let cold = self.table.cold(now).map(|(s, limit)| report(self.table.cold_key(s), limit));
+        let limits = named.chain(cold).collect();
         Heartbeat { limits, ..heartbeat(&self.peer, self.started.0) }
     }
 
@@ -221,7 +263,7 @@
     let peers: Vec<Peer> =
         (0..scenario.nodes).map(|number| peer(number % 4, number, 500)).collect();
     let servers = scenario.limits.len();
-    let start = |now, number: usize| Node::new(now, &peers[number], &peers, servers);
+    let start = |now, number: usize| Node::new(now, &peers[number], &peers, &scenario);
     let mut nodes: Vec<Option<Node>> =
         (0..peers.len()).map(|n| Some(start(Time::ZERO, n))).collect();
     let mut arrivals = vec![Vec::new(); servers];
@@ -362,3 +404,56 @@
             .assert_within_limits("lost heartbeats");
     }
 }
+
+/// Pattern: a data centre returns cold while each node has more requests than the servers bear.
+/// Guards against nodes whose kept tokens add up to more than a cold server bears in a second, and
+/// against a rate that stays unused.
+#[test]
+fn cold_servers_under_full_load_keep_to_their_rate_and_use_it() {
+    for nodes in [6, 60, 300] {
+        for bears in [4.0, 12.5, 60.0, 300.0] {
+            let limits = vec![None, None];
+            // Ten times what both servers bear, over all nodes.
+            let demand = match nodes {
+                6 => |_: usize, _: f64| 1000.0,
+                60 => |_: usize, _: f64| 100.0,
+                _ => |_: usize, _: f64| 20.0,
+            };
+            let cold = Some(bears);
+            let scenario = Scenario { nodes, limits, demand, cold, ..Scenario::default() };
+            let pattern = format!("{nodes} nodes");
+            let used = simulate(scenario).assert_within_warmup(&pattern);
+            assert!(used >= 0.8, "{pattern}: used {used} of {bears}");
+        }
+    }
+}
+
+/// Pattern: the load on cold servers moves between nodes, which also die and lose heartbeats.
+/// Guards against parts that two nodes use at the same time.
+#[test]
+fn cold_servers_keep_to_their_rate_while_load_moves() {
+    let demand = |number: usize, seconds: f64| {
+        let turn = (seconds / 3.0) as usize % 2;
+        if number % 2 == turn { 120.0 } else { 0.0 }
+    };
+    let runs = |number: usize, seconds: f64| number != 1 || !(9.0..12.0).contains(&seconds);
+    for bears in [4.0, 12.5, 60.0, 300.0] {
+        let (limits, cold) = (vec![None], Some(bears));
+        let scenario = Scenario { demand, runs, limits, cold, loss: 0.2, ..Scenario::default() };
+        simulate(scenario).assert_within_warmup("moving load");
+    }
+}
+
+/// Pattern: many nodes, each with about as few requests as its part. Guards against a rate that
+/// stays unused because only nodes with little demand have a part of it.
+#[test]
+fn cold_servers_use_their_rate_with_little_demand_a_node() {
+    for bears in [4.0, 12.5] {
+        let (limits, cold) = (vec![None, None], Some(bears));
+        let demand = |_: usize, _: f64| 5.0;
+        let scenario =
+            Scenario { nodes: 300, limits, demand, cold, seconds: 12, ..Scenario::default() };
+        let used = simulate(scenario).assert_within_warmup("300 nodes");
+        assert!(used >= 0.8, "used {used} of {bears}");
+    }
+}
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -58,6 +58,8 @@
     pub store: Store,
     /// The servers, grouped by service.
     pub servers: Vec<Instance>,
+    /// Bounds in the nodes' settings besides the usual ones.
+    pub more_bounds: Value,
     dir: PathBuf,
     subnet: u8,
     nodes_started: AtomicU32,
@@ -101,7 +103,14 @@
             }
         }
         let subnet = ((process + number * 7) % 200) as u8;
-        Self { store, servers, dir, subnet, nodes_started: AtomicU32::new(1) }
+        Self {
+            store,
+            servers,
+            more_bounds: json!({}),
+            dir,
+            subnet,
+            nodes_started: AtomicU32::new(1),
+        }
     }
 
     /// Registers all servers and writes a configuration of version 3.
@@ -135,7 +144,7 @@
         let port = |offset: u16| -> SocketAddr {
             format!("{ip}:{}", 18_000 + offset).parse().expect("an address")
         };
-        let text = json!({
+        let mut text = json!({
             "node_name": format!("node-{number}"), "ip": ip, "zone": "hall", "region": "land",
             "zones": { "hall": "land" },
             "listen": { "front": port(6), "readiness_addr": port(7), "directory": port(5) },
@@ -148,6 +157,11 @@
             },
             "platform": { "address": store }
         });
+        if let (Some(bounds), Some(more)) =
+            (text["bounds"].as_object_mut(), self.more_bounds.as_object())
+        {
+            bounds.extend(more.clone());
+        }
         let settings_file = self.dir.join(format!("node-{number}.yaml"));
         std::fs::write(&settings_file, text.to_string()).expect("a settings file");
         let log_file = self.dir.join(format!("node-{number}.log"));
--- a/crates/process/share/src/limit.rs
+++ b/crates/process/share/src/limit.rs
@@ -57,6 +57,8 @@
     pub per_second: f64,
     /// When a reply last named it, to this node or to another one.
     heard_at: Time,
+    /// The tokens that are kept are those of so much time, and at least so many.
+    kept: (Duration, f64),
     quota: Quota,
     /// Since when this node has asked for more than its even part.
     pressed_since: Option<Time>,
@@ -78,6 +80,7 @@
         Self {
             per_second,
             heard_at,
+            kept: (BURST_TIME, MIN_BURST),
             quota: Quota::default(),
             pressed_since: None,
             tokens: 0.0,
@@ -90,6 +93,16 @@
         }
     }
 
+    /// Keeps the tokens of `time`, and at least `min`, which is one or more.
+    pub fn with_kept(self, time: Duration, min: f64) -> Self {
+        Self { kept: (time, min), ..self }
+    }
+
+    fn burst(&self, rate: f64) -> f64 {
+        let (time, min) = self.kept;
+        (rate * time.as_secs_f64()).max(min)
+    }
+
     /// When a reply last named it, to this node or to another one.
     pub fn heard_at(&self) -> Time {
         self.heard_at
@@ -124,7 +137,7 @@
     fn tokens(&self, now: Time) -> f64 {
         let rate = self.rate(now);
         let added = rate * now.since(self.filled_at).as_secs_f64();
-        (self.tokens + added).min(burst(rate))
+        (self.tokens + added).min(self.burst(rate))
     }
 
     fn fill(&mut self, now: Time) {
@@ -147,8 +160,9 @@
     }
 
     fn needed(&self, now: Time, leaves_reserve: bool) -> f64 {
-        let reserve = if leaves_reserve { RESERVE_FRACTION * burst(self.rate(now)) } else { 0.0 };
-        1.0 + reserve
+        let burst = self.burst(self.rate(now));
+        let reserve = if leaves_reserve { RESERVE_FRACTION * burst } else { 0.0 };
+        1.0 + reserve.min(burst - 1.0)
     }
 
     /// When a request may be sent, if none may now.
--- a/crates/process/share/src/part.rs
+++ b/crates/process/share/src/part.rs
@@ -109,10 +109,22 @@
     own: Claim,
     others: &[Claim],
     standby_nodes: u32,
+) -> Quota {
+    serving_at_least(per_second, server, own, others, standby_nodes, MIN_EVEN)
+}
+
+/// Like [`serving`]; a node gets no even part below `min_even` requests per second.
+pub fn serving_at_least(
+    per_second: f64,
+    server: u32,
+    own: Claim,
+    others: &[Claim],
+    standby_nodes: u32,
+    min_even: f64,
 ) -> Quota {
     let for_standby = if standby_nodes > 0 { STANDBY_FRACTION } else { 0.0 };
     let limit = per_second.clamp(MIN_LIMIT, MAX_LIMIT) * (1.0 - for_standby);
-    let holders = ((limit / MIN_EVEN) as usize).clamp(1, others.len() + 1);
+    let holders = ((limit / min_even) as usize).clamp(1, others.len() + 1);
     let mut demands: Vec<f64> = Vec::with_capacity(others.len());
     if holders > others.len() {
         demands.extend(others.iter().map(raised_demand));
--- a/crates/version/replica/src/lib.rs
+++ b/crates/version/replica/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 
 pub mod budget;
+pub mod cold;
 pub mod limit;
 pub mod reach;
 pub mod record;
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -108,6 +108,12 @@
     pub(crate) suspects: u32,
     /// The limit that it names at present.
     pub(crate) limit: Option<Limit>,
+    /// What it bears while it is cold; `None` if it is warm or its service names no bound.
+    pub(crate) cold: Option<Limit>,
+    /// Since when it is cold.
+    pub(crate) cold_since: Time,
+    /// Whether it refused the last connection.
+    pub(crate) refuses: bool,
     /// Whether its last reply named a limit that can't be read.
     pub(crate) names_unreadable: bool,
     /// When the last reply that named no limit was received.
@@ -145,6 +151,9 @@
             heard_at: Time::ZERO,
             suspects: 0,
             limit: None,
+            cold: None,
+            cold_since: Time::ZERO,
+            refuses: false,
             names_unreadable: false,
             unlimited_at: Time::ZERO,
         }
@@ -155,6 +164,11 @@
         self.limit.as_ref()
     }
 
+    /// What it bears at present because it is cold.
+    pub fn cold(&self, now: Time) -> Option<&Limit> {
+        self.cold.as_ref().filter(|_| now < self.warmup_until)
+    }
+
     /// Whether it may get a request: it has turned none away, or it is time for a trial and
     /// none is in flight.
     pub fn accepts(&self, now: Time) -> bool {
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -24,6 +24,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::cold;
+use crate::cold::Warmup;
 use crate::limit;
 use crate::limit::Stated;
 use crate::reach;
@@ -157,6 +159,7 @@
     services_by_name: HashMap<Arc<str>, Service>,
     servers_by_service: PrimaryMap<Service, Vec<Server>>,
     connection_limits: SecondaryMap<Service, u32>,
+    warmups: SecondaryMap<Service, Warmup>,
     by_key: HashMap<u32, Server>,
     /// The evacuated data centres.
     evacuated: HashSet<Arc<str>>,
@@ -177,6 +180,7 @@
             services_by_name: HashMap::new(),
             servers_by_service: PrimaryMap::new(),
             connection_limits: SecondaryMap::new(),
+            warmups: SecondaryMap::new(),
             by_key: HashMap::new(),
             evacuated: HashSet::new(),
             reach: Reach::default(),
@@ -278,7 +282,7 @@
         record.entry_missing = false;
         record.in_use = true;
         record.evacuated = self.evacuated.contains(&entry.data_centre);
-        record.warmup_until = now + entry.warmup;
+        self.set_warmup_left(now, server, entry.warmup);
         if !self.servers_by_service[service].contains(&server) {
             self.servers_by_service[service].push(server);
         }
@@ -299,6 +303,95 @@
         }
     }
 
+    /// Sets how the servers of `service` behave after their start.
+    pub fn set_warmup(&mut self, now: Time, service: Service, warmup: Warmup) {
+        if self.warmups[service] == warmup {
+            return;
+        }
+        self.warmups[service] = warmup;
+        // Entries may be known before the configuration.
+        for server in self.servers_by_service[service].clone() {
+            let left = self.servers[server].warmup_until.since(now);
+            self.set_warmup_left(now, server, left);
+        }
+    }
+
+    /// Records that a server is cold for as long as `left`, or warm if that is zero: its entry or
+    /// a reply says so.
+    pub fn set_warmup_left(&mut self, now: Time, server: Server, left: Duration) {
+        let record = &mut self.servers[server];
+        let per_second = self.warmups[record.service].per_second;
+        let was_cold = record.cold(now).is_some();
+        record.warmup_until = now + left;
+        if left.is_zero() || per_second <= 0.0 {
+            record.cold = None;
+        } else if !was_cold {
+            record.cold = Some(cold::limit(now, per_second));
+            record.cold_since = now;
+        } else if let Some(cold) = &mut record.cold {
+            cold.per_second = per_second;
+        }
+    }
+
+    /// Records that the servers of `data_centre` may be cold, since it was evacuated until now.
+    pub fn returned(&mut self, now: Time, data_centre: &str) {
+        let in_use: Vec<Server> = self.servers_in_use().collect();
+        for server in in_use {
+            if *self.servers[server].data_centre == *data_centre {
+                self.assume_cold(now, server);
+            }
+        }
+    }
+
+    /// Records that a connection to a server is open; if it refused the last one, it may have
+    /// started again.
+    pub fn accepted(&mut self, now: Time, server: Server) {
+        if std::mem::take(&mut self.servers[server].refuses) {
+            self.assume_cold(now, server);
+        }
+    }
+
+    /// Assumes that a server is as cold as after its start, if its service names a bound.
+    fn assume_cold(&mut self, now: Time, server: Server) {
+        let record = &self.servers[server];
+        let warmup = self.warmups[record.service];
+        if warmup.per_second > 0.0 && now + warmup.time > record.warmup_until {
+            self.set_warmup_left(now, server, warmup.time);
+        }
+    }
+
+    /// Whether an attempt that was started at `started` has a token of a cold server, or needs none.
+    pub fn has_token(&self, now: Time, server: Server, started: Time) -> bool {
+        let record = &self.servers[server];
+        record.cold(now).is_none() || started >= record.cold_since
+    }
+
+    /// The servers in use that are cold and whose services name a bound.
+    pub fn cold(&self, now: Time) -> impl Iterator<Item = (Server, &Limit)> {
+        let limit = move |server| Some((server, self.servers[server].cold(now)?));
+        self.servers_in_use().filter_map(limit)
+    }
+
+    /// A name of a server's cold state for the reports between nodes, unlike that of its limit.
+    pub fn cold_key(&self, server: Server) -> u32 {
+        let incarnation = &self.servers[server].incarnation;
+        hash::stable(incarnation.born, &[&incarnation.id, "cold"]) as u32
+    }
+
+    /// Sets this node's parts of what cold servers bear by `quota`, which gets the key, the record
+    /// and the limit.
+    pub fn divide_cold(&mut self, now: Time, quota: impl Fn(u32, &Record, &Limit) -> Quota) {
+        let cold: Vec<Server> = self.cold(now).map(|(server, _)| server).collect();
+        for server in cold {
+            let key = self.cold_key(server);
+            let record = &mut self.servers[server];
+            let Some(mut limit) = record.cold.take() else { continue };
+            limit.meter(now);
+            limit.set_quota(now, quota(key, record, &limit));
+            record.cold = Some(limit);
+        }
+    }
+
     /// Whether all servers of `service` are in evacuated data centres.
     pub fn is_evacuated(&self, service: Service) -> bool {
         let servers = &self.servers_by_service[service];
@@ -432,15 +525,23 @@
                     continue;
                 }
             }
+            if let Some(cold) = self.servers[server].cold(now) {
+                if self.servers[server].limit.is_none() {
+                    self.considered.push((cost, server));
+                }
+                if !cold.admits(now, choice.leaves_reserve) {
+                    continue;
+                }
+            }
             if best.is_none_or(|(lowest, _, _)| cost < lowest) {
                 best = Some((cost, server, expected));
             }
         }
         let reached = best.map_or(Duration::MAX, |(cost, _, _)| cost);
         for (_, server) in self.considered.iter().filter(|(cost, _)| *cost <= reached) {
-            if let Some(limit) = &mut self.servers[*server].limit {
-                limit.ask();
-            }
+            let record = &mut self.servers[*server];
+            let limits = record.limit.iter_mut().chain(record.cold.iter_mut());
+            limits.for_each(Limit::ask);
         }
         let (_, server, expected_latency) = best?;
         let record = &self.servers[server];
@@ -538,7 +639,8 @@
             }
             let trial_at = if record.accepts(now) { None } else { record.trial_at() };
             let limited_until = record.limit.as_ref().and_then(|limit| limit.admits_at(now));
-            let accepts_at = trial_at.max(limited_until)?;
+            let cold_until = record.cold(now).and_then(|cold| cold.admits_at(now));
+            let accepts_at = trial_at.max(limited_until).max(cold_until)?;
             earliest = Some(earliest.map_or(accepts_at, |known| known.min(accepts_at)));
         }
         earliest
@@ -548,7 +650,7 @@
     pub fn is_limited(&self, service: Service) -> bool {
         self.servers_of(service).any(|server| {
             let record = &self.servers[server];
-            !record.evacuated && record.limit.is_some()
+            !record.evacuated && (record.limit.is_some() || record.cold.is_some())
         })
     }
 
@@ -578,6 +680,9 @@
         if let Some(limit) = &mut record.limit {
             limit.take(now);
         }
+        if let Some(cold) = &mut record.cold {
+            cold.take(now);
+        }
     }
 
     /// Records that a request which may end the server is sent to it.
@@ -610,6 +715,12 @@
         {
             limit.give_back(now);
         }
+        if let Some(cold) = &mut record.cold
+            && observation == Observation::NotSent
+            && started >= record.cold_since
+        {
+            cold.give_back(now);
+        }
         if observation != Observation::NotSent {
             let replied = matches!(observation, Observation::Replied { .. });
             record.trial_ended(now, started, replied);
@@ -633,6 +744,7 @@
     /// Records that no connection to `server` could be opened.
     pub fn connect_failed(&mut self, now: Time, server: Server) {
         self.servers[server].connect_failed(now);
+        self.servers[server].refuses = true;
         self.reach.failed(now, self.servers[server].service);
     }
 
