entry, platform: a key never reaches a server, also without customers

Cause: the key's header was removed only if the configuration in use has customers. A request passed on to a node whose newer version has none reached the server with its key, and so did one whose caller sent a key before the node had the version with customers. Change: read removes the header always; the key is kept beside the request for passing it on.

--- a/crates/process/entry/src/protocol.rs
+++ b/crates/process/entry/src/protocol.rs
@@ -69,7 +69,10 @@
     /// deadline, and the id of the server that it is addressed to.
     fn write_request(&self, headers: &mut HeaderMap, left: Duration, server: &HeaderValue);
 
-    /// Removes the caller's key, and replaces what the caller sent as its customer by `name`.
+    /// Removes the caller's key.
+    fn remove_credential(&self, headers: &mut HeaderMap);
+
+    /// Replaces what the caller sent as its customer by `name`.
     fn write_customer(&self, headers: &mut HeaderMap, name: Option<&str>);
 
     /// Adds the caller's key, for another node.
--- a/crates/process/entry/src/read.rs
+++ b/crates/process/entry/src/read.rs
@@ -122,9 +122,9 @@
     let id = headers.request_id.clone().ok_or(Rejection::NoRequestId)?;
     let customer = customers::identify(process, router, &route, headers)?;
     let (mut parts, body) = request.into_parts();
-    if router.customers.is_some() {
-        process.protocol.write_customer(&mut parts.headers, None);
-    }
+    // Also without customers: the configuration of a node that passes requests on, or of the caller,
+    // may have them.
+    process.protocol.remove_credential(&mut parts.headers);
     let rejected = |why| Rejected { why, customer: customer.clone() };
     // After this time the caller no longer waits.
     let body_timeout = route.timeout.min(caller_timeout);
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -130,7 +130,7 @@
         headers,
         body,
         id,
-        credential: request_headers.credential.filter(|_| router.customers.is_some()),
+        credential: request_headers.credential,
         customer,
         caller_deadline: arrived + caller_timeout,
         leaves_reserve,
--- a/crates/process/node/tests/lost_path.rs
+++ b/crates/process/node/tests/lost_path.rs
@@ -225,4 +225,18 @@
     let runs: Vec<_> = runs.filter(|run| run.id == "keyed").collect();
     assert_eq!(runs.len(), 1);
     assert!(runs[0].customer == "mill" && !runs[0].has_credential, "{:?}", runs[0]);
+    // The other node's newer version has no customers.
+    pair.cluster.store.put("config", "main", &config(5, json!([])));
+    let needs_no_key =
+        async || pair.near.send(request("none", "GET", "/view/x", "")).await.status() == 200;
+    eventually("requests need no key", needs_no_key).await;
+    for (id, node) in [("passed on", &pair.far), ("direct", &pair.near)] {
+        let mut keyed = request(id, "GET", "/view/x", "");
+        let key = HeaderValue::from_static("a-secret");
+        keyed.headers_mut().insert("heatherseam-credential", key);
+        assert_eq!(node.send(keyed).await.status(), 200, "{id}");
+        let runs = pair.cluster.servers_of("plain").flat_map(|server| server.runs());
+        let runs: Vec<_> = runs.filter(|run| run.id == id).collect();
+        assert!(!runs.is_empty() && runs.iter().all(|run| !run.has_credential), "{id} {runs:?}");
+    }
 }
