entry, site: tests of returned tokens and of customers' priorities

Cause: no test covered a token that is returned after a certified refusal, on passing on, and when the caller disconnects before a send, nor a customer's priority before that of its route. Change: the token moves to entry::usage, which is tested without a process; two tests.

--- a/crates/process/entry/src/customers.rs
+++ b/crates/process/entry/src/customers.rs
@@ -13,6 +13,8 @@
 use crate::read::Rejection;
 use crate::registry::Kind;
 use crate::usage;
+use crate::usage::Runs;
+use crate::usage::Token;
 use base::time::Time;
 use customer::book::Book;
 use customer::book::Customer;
@@ -69,29 +71,9 @@
     usage::install(process, customers.iter().map(rate).collect());
 }
 
-/// The token of an admitted request. It is returned when this is dropped, unless an attempt may
-/// have run.
-pub(crate) struct Token {
-    process: Rc<Process>,
-    request: Rc<CallerRequest>,
-    key: u32,
-    /// Whether the request has certainly not run.
-    is_unused: bool,
-}
-
-impl Token {
-    /// Returns the token of a request that has not run.
-    pub(crate) fn give_back(mut self) {
-        self.is_unused = true;
-    }
-}
-
-impl Drop for Token {
-    fn drop(&mut self) {
-        let is_unused = self.is_unused || self.request.possible_runs.get() == 0;
-        if is_unused {
-            usage::give_back(&*self.process, self.key);
-        }
+impl Runs for CallerRequest {
+    fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0
     }
 }
 
@@ -107,8 +89,8 @@
         process.metrics.record_customer_request("above the quota");
         return Err(Rejection::AboveQuota { wait: at.since(now) + ROUNDING });
     }
-    let (process, request) = (Rc::clone(process), Rc::clone(request));
-    Ok(Some(Token { key: customer.key, process, request, is_unused: false }))
+    let (context, runs) = (Rc::clone(process), Rc::clone(request));
+    Ok(Some(Token::new(context, runs, customer.key)))
 }
 
 /// Added to the time until a token is available, because `Retry-After` is rounded to milliseconds.
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -20,7 +20,6 @@
 
 use crate::breaks;
 use crate::customers;
-use crate::customers::Token;
 use crate::drive;
 use crate::exchange::CallerRequest;
 use crate::exchange::Reply;
@@ -34,6 +33,7 @@
 use crate::read::Rejection;
 use crate::serving::SEND_COST;
 use crate::trace::Trace;
+use crate::usage::Token;
 use base::entity::Service;
 use base::region;
 use base::time::Time;
--- a/crates/process/entry/src/usage.rs
+++ b/crates/process/entry/src/usage.rs
@@ -120,6 +120,42 @@
     }
 }
 
+/// What a token needs to know of its request.
+pub trait Runs {
+    /// Whether an attempt of the request may have run.
+    fn may_have_run(&self) -> bool;
+}
+
+/// The token of an admitted request. It is returned when this is dropped, unless an attempt may
+/// have run.
+pub struct Token {
+    context: Rc<dyn Context>,
+    request: Rc<dyn Runs>,
+    key: u32,
+    /// Whether the request has certainly not run.
+    is_unused: bool,
+}
+
+impl Token {
+    /// The token that [`take`] took for `request`.
+    pub fn new(context: Rc<dyn Context>, request: Rc<dyn Runs>, key: u32) -> Self {
+        Self { context, request, key, is_unused: false }
+    }
+
+    /// Returns the token of a request that has not run.
+    pub fn give_back(mut self) {
+        self.is_unused = true;
+    }
+}
+
+impl Drop for Token {
+    fn drop(&mut self) {
+        if self.is_unused || !self.request.may_have_run() {
+            give_back(&*self.context, self.key);
+        }
+    }
+}
+
 /// Decides this node's parts again; called with each heartbeat.
 pub fn divide(context: &dyn Context) {
     let state = context.usage();
--- a/crates/process/entry/tests/usage_exchange.rs
+++ b/crates/process/entry/tests/usage_exchange.rs
@@ -22,7 +22,9 @@
 use entry::shares::Shares;
 use entry::usage;
 use entry::usage::Context;
+use entry::usage::Runs;
 use entry::usage::State;
+use entry::usage::Token;
 use share::bound::Bound;
 use share::usage::Rate;
 
@@ -140,6 +142,48 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// The attempts of a request that may have run.
+struct Attempts(Cell<u32>);
+
+impl Runs for Attempts {
+    fn may_have_run(&self) -> bool {
+        self.0.get() > 0
+    }
+}
+
+/// Guards against tokens that are lost with requests that have not run, so that a customer is
+/// refused below its quota, and against tokens of requests that have run and are used twice.
+#[tokio::test]
+async fn returned_tokens() {
+    let run = async {
+        // Nothing is added to the bucket in the time of the test.
+        let (node, _) = start(0, 0, rates(0.001)).await;
+        let token = |runs: u32| {
+            let request = Rc::new(Attempts(Cell::new(runs)));
+            let context = Rc::clone(&node) as Rc<dyn Context>;
+            (Token::new(context, Rc::clone(&request) as Rc<dyn Runs>, KEY), request)
+        };
+        while usage::take(&*node, KEY).is_ok() {}
+        let is_returned = || usage::take(&*node, KEY).is_ok();
+        assert!(!is_returned());
+        // The caller disconnects before a send, or the request is passed on.
+        drop(token(0).0);
+        assert!(is_returned());
+        // The only attempt is refused by the server, which certifies that it did not run it.
+        let (refused, request) = token(1);
+        request.0.set(0);
+        drop(refused);
+        assert!(is_returned());
+        // All attempts together count as not run.
+        token(1).0.give_back();
+        assert!(is_returned());
+        // An attempt runs when the caller disconnects.
+        drop(token(1).0);
+        assert!(!is_returned());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against a heartbeat or a notice being taken for usage, and usage for either of them.
 #[test]
 fn distinct_marks() {
--- a/crates/version/site/tests/route_match.rs
+++ b/crates/version/site/tests/route_match.rs
@@ -5,6 +5,10 @@
 
 use base::entity::Service;
 use base::region;
+use customer::config::Customer;
+use customer::config::Customers;
+use customer::key::Hash;
+use customer::key::Salt;
 use site::config::Config;
 use site::config::Limits;
 use site::config::Route;
@@ -39,13 +43,16 @@
 }
 
 fn router_in(regions: &region::Index, routes: Vec<Route>) -> Router {
-    let config = Config {
-        version: 1,
-        routes,
-        services: Vec::new(),
-        limits: Limits::default(),
-        customers: None,
-    };
+    router_with(regions, routes, None)
+}
+
+fn router_with(
+    regions: &region::Index,
+    routes: Vec<Route>,
+    customers: Option<Customers>,
+) -> Router {
+    let config =
+        Config { version: 1, routes, services: Vec::new(), limits: Limits::default(), customers };
     let mut names: Vec<Arc<str>> = Vec::new();
     Router::new(&config, regions, |name| {
         let known = names.iter().position(|other| other == name);
@@ -135,3 +142,31 @@
         assert_eq!((shards.len(), *min_shards), (count, expected));
     }
 }
+
+/// Guards against a route's priority that goes before that of a customer, and against a request
+/// that leaves no reserve to customers of a higher priority than any route has.
+#[test]
+fn priority_of_the_customer() {
+    let salt = Salt::random();
+    let customer = |name: &str, priority| Customer {
+        name: Arc::from(name),
+        keys: vec![Hash::new(&salt, name.as_bytes())],
+        priority,
+        rate_per_second: 0.0,
+        burst: 0.0,
+        homes: Vec::new(),
+    };
+    let customers =
+        vec![customer("urgent", Some(0)), customer("usual", None), customer("late", Some(5))];
+    let customers = Customers { salt: salt.clone(), customers };
+    let routes = vec![route("open", "h", "/", one("s"))];
+    let router = router_with(&region::Index::default(), routes, Some(customers));
+    let route = router.route("h", "/x").expect("a route");
+    let book = router.customers.as_ref().expect("customers");
+    let of = |key: &str| book.find(key.as_bytes()).map(|customer| &**customer);
+    let priorities = ["urgent", "usual", "late", "unknown"].map(|key| route.priority_of(of(key)));
+    assert_eq!(priorities, [0, 1, 5, 1]);
+    let most_urgent =
+        ["urgent", "usual", "late", "unknown"].map(|key| route.is_most_urgent(of(key)));
+    assert_eq!(most_urgent, [true, false, false, false]);
+}
