share, entry, customer: requests are trimmed by customer while the servers are too busy

Cause: customer::fair was not called, so that a customer with many times its usual load cost the others as much as itself. Change: share::usage::Book::demands yields key, demand over the fleet and rate; entry::fairness moves the cut by the requests that ran and those refused with a busy service, and refuses a part of the requests of customers above it with 503, a spread Retry-After, and a log line with customer, quota, demand and share. Without customers with a rate nothing is done; without refusals one number is counted. Result: trimmed_customer, demand_over_the_fleet, retry_times_are_spread and the four tests of fair_shares pass. Not measured with processes.

--- a/crates/process/entry/src/customers.rs
+++ b/crates/process/entry/src/customers.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use crate::exchange::CallerRequest;
+use crate::exchange::Reply;
+use crate::fairness;
 use crate::process::Process;
 use crate::protocol::RequestHeaders;
 use crate::read::Rejection;
@@ -18,6 +20,9 @@
 use base::time::Time;
 use customer::book::Book;
 use customer::book::Customer;
+use gather::event::Cause;
+use gather::event::Outcome;
+use gather::event::Response;
 use share::usage::Rate;
 use site::router::Route;
 use site::router::Router;
@@ -90,15 +95,35 @@
         return Err(Rejection::AboveQuota { wait: at.since(now) + ROUNDING });
     }
     let (context, runs) = (Rc::clone(process), Rc::clone(request));
-    Ok(Some(Token::new(context, runs, customer.key)))
+    // If the request is trimmed, its token is returned, but it counts in the customer's demand.
+    let token = Token::new(context, runs, customer.key);
+    if customer.rate > 0.0 {
+        let random = || process.table.borrow_mut().random_fraction();
+        let admitted = fairness::admit(&process.fairness, &**process, customer.key, random);
+        admitted.map_err(|wait| {
+            process.customer_stats.borrow_mut().refused_below(&customer.name);
+            process.metrics.record_customer_request("trimmed");
+            Rejection::Trimmed { wait }
+        })?;
+    }
+    Ok(Some(token))
 }
 
 /// Added to the time until a token is available, because `Retry-After` is rounded to milliseconds.
 const ROUNDING: Duration = Duration::from_millis(1);
 
 /// Records the end of a request that was below the quota.
-pub(crate) fn record(process: &Process, request: &CallerRequest, has_run: bool) {
+pub(crate) fn record(process: &Process, request: &CallerRequest, response: &Response<Reply>) {
     let Some(customer) = &request.customer else { return };
+    let has_run = response.outcome != Outcome::NotRun;
+    if customer.rate > 0.0 {
+        let is_busy = || response.missing.iter().any(|(_, cause)| *cause == Cause::Busy);
+        match has_run {
+            true => process.fairness.record(false),
+            false if is_busy() => process.fairness.record(true),
+            false => {}
+        }
+    }
     let mut stats = process.customer_stats.borrow_mut();
     if has_run {
         stats.used(&customer.name);
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod departures;
 pub mod era;
+pub mod fairness;
 pub mod feed;
 pub mod homes;
 pub mod members;
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -17,6 +17,7 @@
 use crate::departures::Departures;
 use crate::era;
 use crate::era::Notice;
+use crate::fairness;
 use crate::feed::Feed;
 use crate::forward;
 use crate::in_flight::InFlight;
@@ -93,6 +94,8 @@
     pub(crate) shares: Cell<Shares>,
     /// The use of the customers' rates.
     pub(crate) usage: usage::State,
+    /// Which customers' requests are refused first while the servers are too busy.
+    pub(crate) fairness: fairness::State,
     /// The registry's newest era.
     pub(crate) era: RefCell<era::Tracker>,
     /// Notified when it rises.
--- a/crates/process/entry/src/read.rs
+++ b/crates/process/entry/src/read.rs
@@ -22,6 +22,7 @@
 use crate::protocol::RequestHeaders;
 use crate::serve;
 use crate::serve::Answer;
+use crate::usage;
 use customer::book::Customer;
 use site::router::Route;
 use site::router::Router;
@@ -73,6 +74,10 @@
     Unconfirmed,
     #[error("the customer's quota is used up")]
     AboveQuota { wait: Duration },
+    #[error(
+        "trimmed: the servers are too busy, and its customer has the most demand for its quota"
+    )]
+    Trimmed { wait: Duration },
     #[error("its body is above the limit")]
     BodyTooLarge,
     #[error("its body broke off")]
@@ -95,6 +100,7 @@
             }
             Self::NoKey | Self::UnknownKey => (StatusCode::UNAUTHORIZED, None),
             Self::AboveQuota { wait } => (StatusCode::TOO_MANY_REQUESTS, Some(wait)),
+            Self::Trimmed { wait } => (StatusCode::SERVICE_UNAVAILABLE, Some(wait)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::NoCommonRegion => (StatusCode::FORBIDDEN, None),
             Self::NoRequestId | Self::BodyAborted => (StatusCode::BAD_REQUEST, None),
@@ -104,8 +110,22 @@
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let current_version = process.router.borrow().as_ref().map(|router| router.version);
         process.metrics.record_rejection(status.as_u16());
+        let for_rate = matches!(self, Self::AboveQuota { .. } | Self::Trimmed { .. });
+        let demand = customer.filter(|_| for_rate);
+        let demand = demand.and_then(|customer| usage::demand(process, customer.key));
         let customer = customer.map(|customer| customer.name.as_ref());
-        log::info!(target: "request", id, customer, why:% = self, status = status.as_u16(), version = current_version; "not admitted");
+        log::info!(
+            target: "request",
+            id,
+            customer,
+            why:% = self,
+            status = status.as_u16(),
+            version = current_version,
+            quota_per_s = demand.map(|demand| demand.rate),
+            demand_per_s = demand.map(|demand| demand.per_second),
+            share_per_s = demand.map(|demand| demand.share);
+            "not admitted"
+        );
         serve::empty_answer(status, retry_after)
     }
 }
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -23,6 +23,7 @@
 use crate::admin;
 use crate::clock::Clock;
 use crate::era;
+use crate::fairness;
 use crate::forward;
 use crate::front;
 use crate::heartbeat;
@@ -219,6 +220,7 @@
         role: RefCell::new(Role::default()),
         shares: Cell::new(shares),
         usage: usage::State::new(settings.allowance),
+        fairness: fairness::State::default(),
         era: RefCell::new(era::Tracker::default()),
         era_risen: Notify::new(),
         feeds: RefCell::new(Feeds::new()),
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -193,7 +193,7 @@
     {
         return answer;
     }
-    customers::record(process, &caller_request, response.outcome != Outcome::NotRun);
+    customers::record(process, &caller_request, &response);
     if !record_outcome(process, router, route, &caller_request, arrived, &response) {
         trace.log(process, &caller_request, arrived, route.objective);
     }
--- a/crates/process/entry/src/usage.rs
+++ b/crates/process/entry/src/usage.rs
@@ -22,6 +22,7 @@
 use base::time::Time;
 use share::bound::Bound;
 use share::usage::Book;
+use share::usage::Demand;
 use share::usage::Fleet;
 use share::usage::MIN_REPORT_INTERVAL;
 use share::usage::Peer;
@@ -113,6 +114,17 @@
     result
 }
 
+/// The demand for each key that was used a short time ago; none if no customer has a rate.
+pub fn demands(context: &dyn Context) -> Vec<Demand> {
+    let book = context.usage().book.borrow();
+    book.as_ref().map(|book| book.demands(context.now()).collect()).unwrap_or_default()
+}
+
+/// The demand of the customer with this key; `None` if it has no rate.
+pub fn demand(context: &dyn Context, key: u32) -> Option<Demand> {
+    context.usage().book.borrow().as_ref()?.demand(context.now(), key)
+}
+
 /// Returns the token of a request that has not run.
 pub fn give_back(context: &dyn Context, key: u32) {
     if let Some(book) = context.usage().book.borrow_mut().as_mut() {
--- a/crates/process/entry/tests/usage_exchange.rs
+++ b/crates/process/entry/tests/usage_exchange.rs
@@ -17,6 +17,7 @@
 use crate::support::members;
 use base::time::Time;
 use entry::clock::Clock;
+use entry::fairness;
 use entry::members::Members;
 use entry::members::Peer;
 use entry::shares::Shares;
@@ -184,6 +185,32 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Guards against a customer with many requests that takes the capacity of the others, against
+/// requests that are refused without a lack of capacity, and those of customers without a rate.
+#[tokio::test]
+async fn trimmed_customer() {
+    const SMALL: u32 = 8;
+    const UNLIMITED: u32 = 9;
+    let run = async {
+        let rate = Rate { per_second: 1000.0, burst: 1000.0 };
+        let (node, _) = start(0, 0, HashMap::from([(KEY, rate), (SMALL, rate)])).await;
+        sleep(Duration::from_millis(200)).await;
+        (0..60).for_each(|_| assert_eq!(usage::take(&*node, KEY), Ok(())));
+        (0..10).for_each(|_| assert_eq!(usage::take(&*node, SMALL), Ok(())));
+        usage::divide(&*node);
+        let state = fairness::State::default();
+        let admit = |key, random: f64| fairness::admit(&state, &*node, key, || random);
+        state.record(false);
+        assert_eq!(admit(KEY, 0.99), Ok(()));
+        (0..20).for_each(|_| state.record(true));
+        let retry_after = admit(KEY, 0.99).expect_err("trimmed");
+        assert!(retry_after >= Duration::from_millis(500), "{retry_after:?}");
+        assert_eq!(admit(KEY, 0.01), Ok(()));
+        assert_eq!((admit(SMALL, 0.99), admit(UNLIMITED, 0.99)), (Ok(()), Ok(())));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against a heartbeat or a notice being taken for usage, and usage for either of them.
 #[test]
 fn distinct_marks() {
--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -47,6 +47,20 @@
     pub burst: f64,
 }
 
+/// What all nodes together would use of a key's rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Demand {
+    /// The key.
+    pub key: u32,
+    /// The requests per second that all nodes would admit without the rate, as far as this one
+    /// knows.
+    pub per_second: f64,
+    /// The rate, in requests per second.
+    pub rate: f64,
+    /// This node's share of it, in requests per second.
+    pub share: f64,
+}
+
 /// Another node that serves, or that served a short time ago.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Peer {
@@ -144,6 +158,8 @@
     /// What is granted of the rate and the tolerance, see [`Grant`].
     rate: Rate,
     tolerance: f64,
+    /// The rate alone, in requests per second.
+    own_rate: f64,
     limit: Limit,
     /// This node's count, see [`Usage::used`].
     used: u32,
@@ -171,6 +187,7 @@
         Self {
             rate,
             tolerance,
+            own_rate: rate.per_second,
             limit: Limit::new(now, now, rate.per_second).with_common(common),
             used: 0,
             used_at: None,
@@ -208,6 +225,20 @@
         self.counts.iter().map(|count| count.used_at).chain(self.used_at).max()
     }
 
+    /// What other nodes that use it would admit without the rate, in requests per second, and how
+    /// many nodes use it, this one included.
+    fn others(&self, now: Time) -> (usize, f64) {
+        let active = self.counts.iter().filter(|count| count.is_active(now));
+        active.fold((1, 0.0), |(users, demand), count| (users + 1, demand + count.demand))
+    }
+
+    fn demand(&self, now: Time, key: u32) -> Demand {
+        // The meter stands still while no request comes.
+        let own = if self.is_active(now) { self.limit.demand() } else { 0.0 };
+        let per_second = own + self.others(now).1;
+        Demand { key, per_second, rate: self.own_rate, share: self.own_rate * self.fractions.0 }
+    }
+
     fn lower(&mut self, now: Time, level: f64) {
         if let Some(common) = self.limit.common_mut() {
             common.lower(now, level);
@@ -301,10 +332,12 @@
 
     /// Sets the rate of a key, new or known.
     pub fn set_rate(&mut self, now: Time, key: u32, rate: Rate) {
+        let own_rate = rate.per_second;
         let Grant { rate, tolerance } = Grant::new(&self.bound, rate);
         let entry = self.entries.entry(key).or_insert_with(|| Entry::new(now, rate, tolerance));
         entry.rate = rate;
         entry.tolerance = tolerance;
+        entry.own_rate = own_rate;
         entry.divided = None;
         entry.limit.per_second = rate.per_second;
         if let Some(common) = entry.limit.common_mut() {
@@ -325,6 +358,16 @@
         self.entries.keys().copied()
     }
 
+    /// The demand for each key that was used a short time ago, here or at other nodes.
+    pub fn demands(&self, now: Time) -> impl Iterator<Item = Demand> {
+        self.active.iter().filter_map(move |key| self.demand(now, *key))
+    }
+
+    /// The demand for a key; `None` if it has no rate.
+    pub fn demand(&self, now: Time, key: u32) -> Option<Demand> {
+        self.entries.get(&key).map(|entry| entry.demand(now, key))
+    }
+
     /// Whether no key has a rate.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -542,9 +585,7 @@
     let has_share = nodes.is_serving && !nodes.is_learning(now);
     let even = if has_share { rate.per_second * own } else { 0.0 };
     entry.limit.set_quota(now, Quota { even, most: even });
-    let active = entry.counts.iter().filter(|count| count.is_active(now));
-    let (users, others_demand) =
-        active.fold((1, 0.0), |(users, demand), count| (users + 1, demand + count.demand));
+    let (users, others_demand) = entry.others(now);
     let is_new = now.since(entry.active_since) < REPORT_DELAY;
     let competitors = if is_new { nodes.count().max(users) } else { users };
     let demand = entry.limit.demand();
--- a/crates/process/share/tests/common_bucket.rs
+++ b/crates/process/share/tests/common_bucket.rs
@@ -8,8 +8,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::BOUND;
+use crate::support::KEY;
 use crate::support::Net;
 use crate::support::STEP;
+use crate::support::address;
 use base::time::Time;
 use share::usage::Book;
 use share::usage::MAX_USAGES;
@@ -310,3 +312,21 @@
     book.on_report(START, support::address(1), 2, &report(1));
     assert_eq!(level(&mut book), before - 3.0);
 }
+
+/// Guards against fairness by what one node sees of a customer, or by another rate than its own.
+#[test]
+fn demand_over_the_fleet() {
+    let mut book = Book::new(BOUND);
+    let now = Time::from_millis(1000);
+    book.set_rate(now, KEY, Rate { per_second: 10.0, burst: 5.0 });
+    assert_eq!(book.demands(now).count(), 0);
+    let usage = Usage { key: KEY, used: 1, demand: 30.0, level: 1.0 };
+    book.on_report(now, address(1), 1, &[usage]);
+    book.on_report(now, address(2), 2, &[Usage { demand: 12.0, ..usage }]);
+    let demands: Vec<_> = book.demands(now).collect();
+    assert_eq!(demands.len(), 1);
+    assert_eq!((demands[0].key, demands[0].per_second, demands[0].rate), (KEY, 42.0, 10.0));
+    assert_eq!(book.demand(now, KEY + 1), None);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(book.demand(later, KEY).map(|demand| demand.per_second), Some(0.0));
+}
--- a/crates/version/customer/src/fair.rs
+++ b/crates/version/customer/src/fair.rs
@@ -17,6 +17,8 @@
 const MAX_STEP_INTERVAL: Duration = Duration::from_millis(500);
 const MIN_STEP_INTERVAL: Duration = Duration::from_millis(100);
 const MIN_SAMPLES: u32 = 20;
+/// The longest time after which a trimmed request may come again: the load may have changed by then.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// The fraction of the estimated capacity that a step aims at.
 const TARGET_FRACTION: f64 = 0.9;
 /// The factor by which a step raises the cut while nobody is refused for lack of capacity.
@@ -102,6 +104,15 @@
         if ratio <= self.cut { 1.0 } else { self.cut / ratio }
     }
 
+    /// After what time a request of a customer of which only `fraction` is admitted may come again:
+    /// at least the mean time until one is admitted of requests that come with each step, and up to
+    /// twice that, by `random` between 0 and 1.
+    pub fn retry_after(fraction: f64, random: f64) -> Duration {
+        let mean = MAX_STEP_INTERVAL.as_secs_f64() / fraction.max(f64::MIN_POSITIVE);
+        let wait = mean.min(MAX_RETRY_AFTER.as_secs_f64() / 2.0) * (1.0 + random);
+        Duration::from_secs_f64(wait)
+    }
+
     /// The greatest ratio that is admitted whole, if anybody is trimmed.
     pub fn cut(&self) -> Option<f64> {
         self.cut.is_finite().then_some(self.cut)
--- a/crates/version/customer/tests/fair_shares.rs
+++ b/crates/version/customer/tests/fair_shares.rs
@@ -145,3 +145,13 @@
     }
     assert!(now.since(end) <= Duration::from_secs(1));
 }
+
+/// Guards against callers that come back at the same time, or long after the load has changed.
+#[test]
+fn retry_times_are_spread() {
+    for fraction in [1.0, 0.5, 0.01, 0.0] {
+        let [early, late] = [0.0, 1.0].map(|random| Fair::retry_after(fraction, random));
+        assert!(early >= Duration::from_millis(500) && late <= Duration::from_secs(5));
+        assert_eq!(late, early * 2);
+    }
+}
