entry, customer: all refusals count for their customer and name it

Cause: requests that were refused before they had a token (body, regions, lost path), and those whose path was lost while they waited, were missing from the customers with the most refusals, and the log line of a lost path lacked the customer. Keys with two customers were logged without a bound. Change: Rejection::into_answer and the refusals without a path count them; at most ten such keys are logged for a version. The log line and the bound have no test.

--- a/crates/process/entry/src/customers.rs
+++ b/crates/process/entry/src/customers.rs
@@ -63,13 +63,19 @@
     !process.is_config_compared.get() || !is_confirmed(process) && was_paused()
 }
 
+/// The maximum number of keys with two customers that are logged for one version.
+const MAX_LOGGED_CONFLICTS: usize = 10;
+
 /// Takes over the customers of the router in use.
 pub(crate) fn install(process: &Process, router: &Router) {
     let customers = router.customers.as_ref().map(Book::customers).unwrap_or_default();
     let conflicts = router.customers.as_ref().map(Book::conflicts).unwrap_or_default();
-    for conflict in conflicts {
+    for conflict in conflicts.iter().take(MAX_LOGGED_CONFLICTS) {
         log::warn!(target: "config", version = router.version, holder = conflict.holder.as_ref(), other = conflict.other.as_ref(); "Two customers have the same key; it identifies only the first one.");
     }
+    if conflicts.len() > MAX_LOGGED_CONFLICTS {
+        log::warn!(target: "config", version = router.version, conflicts = conflicts.len(); "More keys belong to two customers each; they are not logged.");
+    }
     let rate = |customer: &Arc<Customer>| {
         (customer.key, Rate { per_second: customer.rate, burst: customer.burst })
     };
@@ -90,7 +96,6 @@
     let Some(customer) = &request.customer else { return Ok(None) };
     let now = process.clock.now();
     if let Err(at) = usage::take(&**process, customer.key) {
-        process.customer_stats.borrow_mut().refused_above(&customer.name);
         process.metrics.record_customer_request("above the quota");
         return Err(Rejection::AboveQuota { wait: at.since(now) + ROUNDING });
     }
@@ -101,7 +106,6 @@
         let random = || process.table.borrow_mut().random_fraction();
         let admitted = fairness::admit(&process.fairness, &**process, customer.key, random);
         admitted.map_err(|wait| {
-            process.customer_stats.borrow_mut().refused_below(&customer.name);
             process.metrics.record_customer_request("trimmed");
             Rejection::Trimmed { wait }
         })?;
--- a/crates/process/entry/src/read.rs
+++ b/crates/process/entry/src/read.rs
@@ -110,6 +110,13 @@
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let current_version = process.router.borrow().as_ref().map(|router| router.version);
         process.metrics.record_rejection(status.as_u16());
+        if let Some(customer) = customer {
+            let mut stats = process.customer_stats.borrow_mut();
+            match self {
+                Self::Trimmed { .. } => stats.refused_below(&customer.name),
+                _ => stats.refused(&customer.name),
+            }
+        }
         let for_rate = matches!(self, Self::AboveQuota { .. } | Self::Trimmed { .. });
         let demand = customer.filter(|_| for_rate);
         let demand = demand.and_then(|customer| usage::demand(process, customer.key));
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -162,7 +162,10 @@
             return answer;
         }
         if !caller_request.homes.is_any() {
-            return refuse_in_homes(process, route, &caller_request);
+            if let Some(customer) = &caller_request.customer {
+                process.customer_stats.borrow_mut().refused(&customer.name);
+            }
+            return refuse_without_path(process, route, &caller_request);
         }
     }
     let mut token = match customers::admit(process, &caller_request) {
@@ -178,7 +181,13 @@
     let response = drive::run(process, Machine::new(plan), request, stats, &mut trace).await;
     let Some(response) = response else {
         drop(token);
-        return pass_on().await.unwrap_or_else(refusal);
+        if let Some(answer) = pass_on().await {
+            return answer;
+        }
+        if let Some(customer) = &caller_request.customer {
+            process.customer_stats.borrow_mut().refused_below(&customer.name);
+        }
+        return refuse_without_path(process, route, &caller_request);
     };
     if response.outcome == Outcome::NotRun {
         token.take().into_iter().for_each(Token::give_back);
@@ -202,8 +211,9 @@
 
 /// Refuses a request that this node can't answer since it has lost its path, and that no node in
 /// the request's homes has taken over.
-fn refuse_in_homes(process: &Process, route: &Route, caller_request: &CallerRequest) -> Answer {
-    log::info!(target: "request", id = caller_request.id.to_str().unwrap_or_default(), route = route.name.as_ref(), homes = home_names(process, caller_request.homes); "A request was refused: this node has lost its path to the servers, and no node in the allowed regions took it over.");
+fn refuse_without_path(process: &Process, route: &Route, caller_request: &CallerRequest) -> Answer {
+    let customer = caller_request.customer.as_ref().map(|customer| customer.name.as_ref());
+    log::info!(target: "request", id = caller_request.id.to_str().unwrap_or_default(), customer, route = route.name.as_ref(), homes = home_names(process, caller_request.homes); "A request was refused: this node has lost its path to the servers, and no node in the allowed regions took it over.");
     refusal()
 }
 
--- a/crates/process/node/tests/customer_keys.rs
+++ b/crates/process/node/tests/customer_keys.rs
@@ -178,3 +178,20 @@
     let is_named = |line: &Value| line["status"] == 429 && line["customer"] == "mill";
     eventually("the log names it", async || node.log_lines().iter().any(is_named)).await;
 }
+
+/// Guards against refusals that operators don't see by customer, because the request had no token.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_without_a_token_are_counted() {
+    let cluster = Cluster::start();
+    let mut spec = version(5, &["a-secret"], 0.0, 0.0);
+    spec["limits"] = json!({ "max_body_bytes": 4 });
+    let node = start_with(&cluster, &spec).await;
+    let mut large = keyed("large", "/view/x", "a-secret");
+    *large.body_mut() = Full::new(Bytes::from_static(b"12345"));
+    assert_eq!(node.send(large).await.status(), 413);
+    let state = node.operate("GET", "/status").await;
+    let state: Value = serde_json::from_slice(state.body()).expect("JSON");
+    let refused = &state["customers"]["refused"];
+    assert_eq!((&refused[0]["customer"], &refused[0]["count"]), (&json!("mill"), &json!(1)));
+    assert_eq!(state["customers"]["refused_below_quota"], json!([]));
+}
--- a/crates/version/customer/src/stats.rs
+++ b/crates/version/customer/src/stats.rs
@@ -88,8 +88,8 @@
         self.used.add(name);
     }
 
-    /// Counts a request that was refused because the quota was used up.
-    pub fn refused_above(&mut self, name: &Arc<str>) {
+    /// Counts a request that was refused before it had a token.
+    pub fn refused(&mut self, name: &Arc<str>) {
         self.refused.add(name);
     }
 
--- a/crates/version/customer/tests/top_customers.rs
+++ b/crates/version/customer/tests/top_customers.rs
@@ -29,7 +29,7 @@
 fn refusals_below_the_quota_are_counted_apart() {
     let mut stats = Stats::default();
     let name: Arc<str> = Arc::from("mill");
-    stats.refused_above(&name);
+    stats.refused(&name);
     stats.refused_below(&name);
     let top = stats.top();
     assert_eq!((top.refused[0].count, top.refused_below_quota[0].count), (2, 1));
