--- a/crates/process/entry/src/customers.rs
+++ b/crates/process/entry/src/customers.rs
@@ -8,14 +8,21 @@
 use std::time::Duration;
 
 use crate::exchange::CallerRequest;
+use crate::exchange::Reply;
+use crate::fairness;
 use crate::process::Process;
 use crate::protocol::RequestHeaders;
 use crate::read::Rejection;
 use crate::registry::Kind;
 use crate::usage;
+use crate::usage::Runs;
+use crate::usage::Token;
 use base::time::Time;
 use customer::book::Book;
 use customer::book::Customer;
+use gather::event::Cause;
+use gather::event::Outcome;
+use gather::event::Response;
 use share::usage::Rate;
 use site::router::Route;
 use site::router::Router;
@@ -56,42 +63,28 @@
     !process.is_config_compared.get() || !is_confirmed(process) && was_paused()
 }
 
+/// The maximum number of keys with two customers that are logged for one version.
+const MAX_LOGGED_CONFLICTS: usize = 10;
+
 /// Takes over the customers of the router in use.
 pub(crate) fn install(process: &Process, router: &Router) {
     let customers = router.customers.as_ref().map(Book::customers).unwrap_or_default();
     let conflicts = router.customers.as_ref().map(Book::conflicts).unwrap_or_default();
-    for conflict in conflicts {
+    for conflict in conflicts.iter().take(MAX_LOGGED_CONFLICTS) {
         log::warn!(target: "config", version = router.version, holder = conflict.holder.as_ref(), other = conflict.other.as_ref(); "Two customers have the same key; it identifies only the first one.");
     }
+    if conflicts.len() > MAX_LOGGED_CONFLICTS {
+        log::warn!(target: "config", version = router.version, conflicts = conflicts.len(); "More keys belong to two customers each; they are not logged.");
+    }
     let rate = |customer: &Arc<Customer>| {
         (customer.key, Rate { per_second: customer.rate, burst: customer.burst })
     };
     usage::install(process, customers.iter().map(rate).collect());
 }
 
-/// The token of an admitted request. It is returned when this is dropped, unless an attempt may
-/// have run.
-pub(crate) struct Token {
-    process: Rc<Process>,
-    request: Rc<CallerRequest>,
-    key: u32,
-    /// Whether the request has certainly not run.
-    is_unused: bool,
-}
-
-impl Token {
-    /// Returns the token of a request that has not run.
-    pub(crate) fn give_back(mut self) {
-        self.is_unused = true;
-    }
-}
-
-impl Drop for Token {
-    fn drop(&mut self) {
-        let is_unused = self.is_unused || self.request.possible_runs.get() == 0;
-        if is_unused {
-            usage::give_back(&*self.process, self.key);
-        }
+impl Runs for CallerRequest {
+    fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0
     }
 }
 
@@ -103,20 +96,38 @@
     let Some(customer) = &request.customer else { return Ok(None) };
     let now = process.clock.now();
     if let Err(at) = usage::take(&**process, customer.key) {
-        process.customer_stats.borrow_mut().refused_above(&customer.name);
         process.metrics.record_customer_request("above the quota");
         return Err(Rejection::AboveQuota { wait: at.since(now) + ROUNDING });
     }
-    let (process, request) = (Rc::clone(process), Rc::clone(request));
-    Ok(Some(Token { key: customer.key, process, request, is_unused: false }))
+    let (context, runs) = (Rc::clone(process), Rc::clone(request));
+    // If the request is trimmed, its token is returned, but it counts in the customer's demand.
+    let token = Token::new(context, runs, customer.key);
+    if customer.rate > 0.0 {
+        let random = || process.table.borrow_mut().random_fraction();
+        let admitted = fairness::admit(&process.fairness, &**process, customer.key, random);
+        admitted.map_err(|wait| {
+            process.metrics.record_customer_request("trimmed");
+            Rejection::Trimmed { wait }
+        })?;
+    }
+    Ok(Some(token))
 }
 
 /// Added to the time until a token is available, because `Retry-After` is rounded to milliseconds.
 const ROUNDING: Duration = Duration::from_millis(1);
 
 /// Records the end of a request that was below the quota.
-pub(crate) fn record(process: &Process, request: &CallerRequest, has_run: bool) {
+pub(crate) fn record(process: &Process, request: &CallerRequest, response: &Response<Reply>) {
     let Some(customer) = &request.customer else { return };
+    let has_run = response.outcome != Outcome::NotRun;
+    if customer.rate > 0.0 {
+        let is_busy = || response.missing.iter().any(|(_, cause)| *cause == Cause::Busy);
+        match has_run {
+            true => process.fairness.record(false),
+            false if is_busy() => process.fairness.record(true),
+            false => {}
+        }
+    }
     let mut stats = process.customer_stats.borrow_mut();
     if has_run {
         stats.used(&customer.name);
--- a/crates/process/entry/src/read.rs
+++ b/crates/process/entry/src/read.rs
@@ -22,6 +22,7 @@
 use crate::protocol::RequestHeaders;
 use crate::serve;
 use crate::serve::Answer;
+use crate::usage;
 use customer::book::Customer;
 use site::router::Route;
 use site::router::Router;
@@ -73,6 +74,10 @@
     Unconfirmed,
     #[error("the customer's quota is used up")]
     AboveQuota { wait: Duration },
+    #[error(
+        "trimmed: the servers are too busy, and its customer has the most demand for its quota"
+    )]
+    Trimmed { wait: Duration },
     #[error("its body is above the limit")]
     BodyTooLarge,
     #[error("its body broke off")]
@@ -95,6 +100,7 @@
             }
             Self::NoKey | Self::UnknownKey => (StatusCode::UNAUTHORIZED, None),
             Self::AboveQuota { wait } => (StatusCode::TOO_MANY_REQUESTS, Some(wait)),
+            Self::Trimmed { wait } => (StatusCode::SERVICE_UNAVAILABLE, Some(wait)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::NoCommonRegion => (StatusCode::FORBIDDEN, None),
             Self::NoRequestId | Self::BodyAborted => (StatusCode::BAD_REQUEST, None),
@@ -104,8 +110,29 @@
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let current_version = process.router.borrow().as_ref().map(|router| router.version);
         process.metrics.record_rejection(status.as_u16());
+        if let Some(customer) = customer {
+            let mut stats = process.customer_stats.borrow_mut();
+            match self {
+                Self::Trimmed { .. } => stats.refused_below(&customer.name),
+                _ => stats.refused(&customer.name),
+            }
+        }
+        let for_rate = matches!(self, Self::AboveQuota { .. } | Self::Trimmed { .. });
+        let demand = customer.filter(|_| for_rate);
+        let demand = demand.and_then(|customer| usage::demand(process, customer.key));
         let customer = customer.map(|customer| customer.name.as_ref());
-        log::info!(target: "request", id, customer, why:% = self, status = status.as_u16(), version = current_version; "not admitted");
+        log::info!(
+            target: "request",
+            id,
+            customer,
+            why:% = self,
+            status = status.as_u16(),
+            version = current_version,
+            quota_per_s = demand.map(|demand| demand.rate),
+            demand_per_s = demand.map(|demand| demand.per_second),
+            share_per_s = demand.map(|demand| demand.share);
+            "not admitted"
+        );
         serve::empty_answer(status, retry_after)
     }
 }
@@ -122,9 +149,9 @@
     let id = headers.request_id.clone().ok_or(Rejection::NoRequestId)?;
     let customer = customers::identify(process, router, &route, headers)?;
     let (mut parts, body) = request.into_parts();
-    if router.customers.is_some() {
-        process.protocol.write_customer(&mut parts.headers, None);
-    }
+    // Also without customers: the configuration of a node that passes requests on, or of the caller,
+    // may have them.
+    process.protocol.remove_credential(&mut parts.headers);
     let rejected = |why| Rejected { why, customer: customer.clone() };
     // After this time the caller no longer waits.
     let body_timeout = route.timeout.min(caller_timeout);
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -20,7 +20,6 @@
 
 use crate::breaks;
 use crate::customers;
-use crate::customers::Token;
 use crate::drive;
 use crate::exchange::CallerRequest;
 use crate::exchange::Reply;
@@ -34,6 +33,7 @@
 use crate::read::Rejection;
 use crate::serving::SEND_COST;
 use crate::trace::Trace;
+use crate::usage::Token;
 use base::entity::Service;
 use base::region;
 use base::time::Time;
@@ -130,7 +130,7 @@
         headers,
         body,
         id,
-        credential: request_headers.credential.filter(|_| router.customers.is_some()),
+        credential: request_headers.credential,
         customer,
         caller_deadline: arrived + caller_timeout,
         leaves_reserve,
@@ -162,7 +162,10 @@
             return answer;
         }
         if !caller_request.homes.is_any() {
-            return refuse_in_homes(process, route, &caller_request);
+            if let Some(customer) = &caller_request.customer {
+                process.customer_stats.borrow_mut().refused(&customer.name);
+            }
+            return refuse_without_path(process, route, &caller_request);
         }
     }
     let mut token = match customers::admit(process, &caller_request) {
@@ -178,7 +181,13 @@
     let response = drive::run(process, Machine::new(plan), request, stats, &mut trace).await;
     let Some(response) = response else {
         drop(token);
-        return pass_on().await.unwrap_or_else(refusal);
+        if let Some(answer) = pass_on().await {
+            return answer;
+        }
+        if let Some(customer) = &caller_request.customer {
+            process.customer_stats.borrow_mut().refused_below(&customer.name);
+        }
+        return refuse_without_path(process, route, &caller_request);
     };
     if response.outcome == Outcome::NotRun {
         token.take().into_iter().for_each(Token::give_back);
@@ -193,7 +202,7 @@
     {
         return answer;
     }
-    customers::record(process, &caller_request, response.outcome != Outcome::NotRun);
+    customers::record(process, &caller_request, &response);
     if !record_outcome(process, router, route, &caller_request, arrived, &response) {
         trace.log(process, &caller_request, arrived, route.objective);
     }
@@ -202,8 +211,9 @@
 
 /// Refuses a request that this node can't answer since it has lost its path, and that no node in
 /// the request's homes has taken over.
-fn refuse_in_homes(process: &Process, route: &Route, caller_request: &CallerRequest) -> Answer {
-    log::info!(target: "request", id = caller_request.id.to_str().unwrap_or_default(), route = route.name.as_ref(), homes = home_names(process, caller_request.homes); "A request was refused: this node has lost its path to the servers, and no node in the allowed regions took it over.");
+fn refuse_without_path(process: &Process, route: &Route, caller_request: &CallerRequest) -> Answer {
+    let customer = caller_request.customer.as_ref().map(|customer| customer.name.as_ref());
+    log::info!(target: "request", id = caller_request.id.to_str().unwrap_or_default(), customer, route = route.name.as_ref(), homes = home_names(process, caller_request.homes); "A request was refused: this node has lost its path to the servers, and no node in the allowed regions took it over.");
     refusal()
 }
 
--- a/crates/process/entry/tests/usage_exchange.rs
+++ b/crates/process/entry/tests/usage_exchange.rs
@@ -17,12 +17,15 @@
 use crate::support::members;
 use base::time::Time;
 use entry::clock::Clock;
+use entry::fairness;
 use entry::members::Members;
 use entry::members::Peer;
 use entry::shares::Shares;
 use entry::usage;
 use entry::usage::Context;
+use entry::usage::Runs;
 use entry::usage::State;
+use entry::usage::Token;
 use share::bound::Bound;
 use share::usage::Rate;
 
@@ -140,6 +143,74 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// The attempts of a request that may have run.
+struct Attempts(Cell<u32>);
+
+impl Runs for Attempts {
+    fn may_have_run(&self) -> bool {
+        self.0.get() > 0
+    }
+}
+
+/// Guards against tokens that are lost with requests that have not run, so that a customer is
+/// refused below its quota, and against tokens of requests that have run and are used twice.
+#[tokio::test]
+async fn returned_tokens() {
+    let run = async {
+        // Nothing is added to the bucket in the time of the test.
+        let (node, _) = start(0, 0, rates(0.001)).await;
+        let token = |runs: u32| {
+            let request = Rc::new(Attempts(Cell::new(runs)));
+            let context = Rc::clone(&node) as Rc<dyn Context>;
+            (Token::new(context, Rc::clone(&request) as Rc<dyn Runs>, KEY), request)
+        };
+        while usage::take(&*node, KEY).is_ok() {}
+        let is_returned = || usage::take(&*node, KEY).is_ok();
+        assert!(!is_returned());
+        // The caller disconnects before a send, or the request is passed on.
+        drop(token(0).0);
+        assert!(is_returned());
+        // The only attempt is refused by the server, which certifies that it did not run it.
+        let (refused, request) = token(1);
+        request.0.set(0);
+        drop(refused);
+        assert!(is_returned());
+        // All attempts together count as not run.
+        token(1).0.give_back();
+        assert!(is_returned());
+        // An attempt runs when the caller disconnects.
+        drop(token(1).0);
+        assert!(!is_returned());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// Guards against a customer with many requests that takes the capacity of the others, against
+/// requests that are refused without a lack of capacity, and those of customers without a rate.
+#[tokio::test]
+async fn trimmed_customer() {
+    const SMALL: u32 = 8;
+    const UNLIMITED: u32 = 9;
+    let run = async {
+        let rate = Rate { per_second: 1000.0, burst: 1000.0 };
+        let (node, _) = start(0, 0, HashMap::from([(KEY, rate), (SMALL, rate)])).await;
+        sleep(Duration::from_millis(200)).await;
+        (0..60).for_each(|_| assert_eq!(usage::take(&*node, KEY), Ok(())));
+        (0..10).for_each(|_| assert_eq!(usage::take(&*node, SMALL), Ok(())));
+        usage::divide(&*node);
+        let state = fairness::State::default();
+        let admit = |key, random: f64| fairness::admit(&state, &*node, key, || random);
+        state.record(false);
+        assert_eq!(admit(KEY, 0.99), Ok(()));
+        (0..20).for_each(|_| state.record(true));
+        let retry_after = admit(KEY, 0.99).expect_err("trimmed");
+        assert!(retry_after >= Duration::from_millis(500), "{retry_after:?}");
+        assert_eq!(admit(KEY, 0.01), Ok(()));
+        assert_eq!((admit(SMALL, 0.99), admit(UNLIMITED, 0.99)), (Ok(()), Ok(())));
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against a heartbeat or a notice being taken for usage, and usage for either of them.
 #[test]
 fn distinct_marks() {
