soak: an earlier build beside the present one, and evacuations that outlast returns

Cause: with seed 1, an evacuation of 7.7 s ended before any node counted as undisturbed again, so the planted fault of evacuations was not reported; nothing ran two builds together.

--- a/crates/fakes/examples/soak/check.rs
+++ b/crates/fakes/examples/soak/check.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -135,6 +136,13 @@
                 .any(|at| *at >= call.sent && *at <= call.ended)
     }
 
+    /// Whether a process of an earlier build got the request: it supports neither regions nor
+    /// evacuations, keys or quotas.
+    pub(crate) fn is_of_earlier(&self, call: &Call) -> bool {
+        let earlier = &self.system.nodes()[call.node].earlier_lifetimes;
+        call.lifetimes.0 <= earlier.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn in_touch(&self, node: usize, at: Instant) -> bool {
         let from = at.checked_sub(STABILITY).unwrap_or(at);
         ![&self.nodes[node], &self.stops[node], &self.store]
--- a/crates/fakes/examples/soak/customers.rs
+++ b/crates/fakes/examples/soak/customers.rs
@@ -26,7 +26,7 @@
 const QUOTA_SLACK: f64 = 20.0;
 
 impl Evidence {
-    /// What arrived at servers, with the caller's request.
+    /// What arrived at servers from the present build, with the caller's request.
     fn arrivals(&self) -> Vec<(&Instance, Arrival, &Call)> {
         let by_id: HashMap<&str, &Call> =
             self.calls.iter().map(|call| (call.id.as_str(), call)).collect();
@@ -35,6 +35,9 @@
             .flat_map(|instance| instance.arrivals().into_iter().map(move |a| (instance, a)))
             .filter_map(|(instance, arrival)| {
                 let call = *by_id.get(arrival.id.as_str())?;
+                if self.is_of_earlier(call) {
+                    return None;
+                }
                 Some((instance.as_ref(), arrival, call))
             })
             .collect()
@@ -75,7 +78,8 @@
                 found.push(describe(call, &what));
             }
         }
-        for call in self.calls.iter().filter(|call| call.key.is_some()) {
+        let is_checked = |call: &&Call| call.key.is_some() && !self.is_of_earlier(call);
+        for call in self.calls.iter().filter(is_checked) {
             let passed = call.status() == 200 || self.ran(&call.id) > 0;
             match key_of(call) {
                 None if passed => found.push(describe(call, "had a key that never was valid")),
--- a/crates/fakes/examples/soak/main.rs
+++ b/crates/fakes/examples/soak/main.rs
@@ -3,12 +3,14 @@
 //!
 //!     soak --binary PATH [--seed N] [--seeds COUNT] [--seconds S] [--nodes N]
 //!          [--without N,N,...] [--shrink] [--plant NAME] [--folder PATH] [--return]
+//!          [--earlier PATH]
 //!
 //! Each seed is one run: it prints its schedule and the broken promises, and leaves the nodes'
 //! logs in a folder if there are any. `--without` leaves out steps of the schedule; `--shrink`
 //! leaves out as many as possible while the run still fails. `--return` plays no schedule: it
 //! measures how long a version takes to be in force after the store returned from a copy, and
-//! the calls to the store in the ten seconds after.
+//! the calls to the store in the ten seconds after. `--earlier` names the program of an earlier
+//! build: most nodes run it at the start, and are replaced one after the other by the present one.
 
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -27,6 +29,7 @@
 use crate::check::Evidence;
 use crate::schedule::Fault;
 use crate::system::Plant;
+use crate::system::Programs;
 use crate::system::System;
 
 mod caller;
@@ -52,7 +55,7 @@
 
 /// The parameters of all runs.
 struct Settings {
-    binary: PathBuf,
+    programs: Programs,
     folder: PathBuf,
     length: Duration,
     nodes: usize,
@@ -66,6 +69,7 @@
     options.optopt("", "seeds", "the number of seeds (1)", "COUNT");
     options.optopt("", "seconds", "the length of the schedule (15)", "S");
     options.optopt("", "nodes", "the number of nodes (6)", "N");
+    options.optopt("", "earlier", "an earlier build, whose processes are replaced", "PATH");
     options.optopt("", "without", "steps to leave out", "N,N,...");
     options.optflag("", "shrink", "leave out steps while the run fails");
     options.optopt("", "plant", "a fault of a stand-in that must be reported", "NAME");
@@ -84,7 +88,10 @@
     };
     let default_folder = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
     let settings = Settings {
-        binary: matches.opt_str("binary").map(PathBuf::from).unwrap_or_default(),
+        programs: Programs {
+            present: matches.opt_str("binary").map(PathBuf::from).unwrap_or_default(),
+            earlier: matches.opt_str("earlier").map(PathBuf::from),
+        },
         folder: matches.opt_str("folder").map_or(default_folder, PathBuf::from),
         length: Duration::from_secs(number("seconds", 15)),
         nodes: number("nodes", 6) as usize,
@@ -127,6 +134,7 @@
         "customers" => Some(Plant::SwappedKeys),
         "revocations" => Some(Plant::KeptKeys),
         "known-keys" => Some(Plant::LostKeys),
+        "unknown-keys" => Some(Plant::GrantedKey),
         "quotas" => Some(Plant::LostRates),
         other => panic!("no such plant: {other}"),
     }
@@ -162,7 +170,7 @@
         panic!("cannot create {}: {error}", folder.display());
     }
     let started =
-        System::start(&settings.binary, folder, free_subnet(), settings.nodes, settings.plant);
+        System::start(&settings.programs, folder, free_subnet(), settings.nodes, settings.plant);
     let system = started.await.expect("the system starts");
     let from = Instant::now();
     for node in system.nodes() {
@@ -217,6 +225,8 @@
     calls.start(system);
     let start = tokio::time::Instant::now();
     let mut running = Vec::new();
+    let (replacing, length) = (Arc::clone(system), settings.length);
+    running.push(tokio::spawn(async move { replacing.replace_earlier(length).await }));
     for step in schedule::draw(seed, settings.length, settings.nodes, system.server_count()) {
         if left_out.contains(&step.number) {
             continue;
--- a/crates/fakes/examples/soak/schedule.rs
+++ b/crates/fakes/examples/soak/schedule.rs
@@ -32,8 +32,9 @@
 const OPERATOR_SEED: u64 = 0x006f_7065_7261;
 /// How long a key remains valid beside the one that replaces it, in milliseconds.
 const OVERLAP_MS: Range<u64> = 500..3000;
-/// How long a data centre is evacuated, in milliseconds: longer than the bound.
-const EVACUATION_MS: Range<u64> = 7000..10_000;
+/// How long a data centre is evacuated, in milliseconds. With less than 10 s, seed 1 checked nothing:
+/// the bound, and the time after a return of the store in which no node counts as undisturbed, took all.
+const EVACUATION_MS: Range<u64> = 11_000..14_000;
 /// How long a customer sends many times its quota, in milliseconds: longer than the window.
 const FLOOD_MS: Range<u64> = 6000..9000;
 
--- a/crates/fakes/examples/soak/system.rs
+++ b/crates/fakes/examples/soak/system.rs
@@ -122,11 +122,22 @@
     LostKeys,
     /// Versions name no rates.
     LostRates,
+    /// The configuration gives a customer the key that callers take for unknown.
+    GrantedKey,
 }
 
 /// A span; open if it has no end yet.
 pub type Span = (Instant, Option<Instant>);
 
+/// The programs of the nodes.
+#[derive(Clone, Debug, Default)]
+pub struct Programs {
+    /// The present build.
+    pub present: PathBuf,
+    /// An earlier build, which all nodes but the first of each data centre run at the start.
+    pub earlier: Option<PathBuf>,
+}
+
 /// The process of a node.
 pub struct Node {
     /// Its caller address.
@@ -138,6 +149,10 @@
     pub process: AtomicU32,
     /// The number of processes so far.
     pub lifetime: AtomicU32,
+    /// Whether the next process is of the earlier build.
+    is_earlier: AtomicBool,
+    /// The number of processes of the earlier build so far; they were the first ones.
+    pub earlier_lifetimes: AtomicU32,
     /// When it was frozen, killed, stopped, cut or not ready.
     pub disturbed: Mutex<Vec<Span>>,
     /// When it was killed.
@@ -233,14 +248,17 @@
             (Some(Plant::SwappedKeys), STABLE) => ROTATING,
             _ => index,
         };
-        let is_lost = plant == Some(Plant::LostKeys) && version > 1 && owner == STABLE;
+        let is_lost = plant == Some(Plant::LostKeys) && version > 1 && owner == ROTATING;
         let is_kept = |key: &Key| plant == Some(Plant::KeptKeys) && key.added <= version;
-        let texts: Vec<&str> = keys
+        let mut texts: Vec<&str> = keys
             .iter()
             .filter(|key| key.customer == owner && !is_lost)
             .filter(|key| key.is_valid_in(version) || is_kept(key))
             .map(|key| key.text.as_str())
             .collect();
+        if plant == Some(Plant::GrantedKey) && index == STABLE {
+            texts.push(UNKNOWN_KEY);
+        }
         let has_rate = plant != Some(Plant::LostRates);
         let (rate, burst) = if has_rate { (*rate, *burst) } else { (0, 0) };
         json!({ "name": name, "api_keys": texts, "priority": 1, "rate_per_s": rate,
@@ -301,10 +319,9 @@
 }
 
 impl System {
-    /// Starts the store, the servers and `nodes` nodes in two data centres; `binary` is the
-    /// nodes' program, and files go to `folder`.
+    /// Starts the store, the servers and `nodes` nodes in two data centres; files go to `folder`.
     pub async fn start(
-        binary: &Path,
+        programs: &Programs,
         folder: &Path,
         subnet: u8,
         nodes: usize,
@@ -341,8 +358,10 @@
             }
         }
         system.write_version(1);
-        for node in &system.nodes {
-            tokio::spawn(supervise(Arc::clone(&system), Arc::clone(node), binary.to_owned()));
+        for (number, node) in system.nodes.iter().enumerate() {
+            let is_earlier = programs.earlier.is_some() && number >= ZONES.len();
+            node.is_earlier.store(is_earlier, Ordering::Relaxed);
+            tokio::spawn(supervise(Arc::clone(&system), Arc::clone(node), programs.clone()));
         }
         tokio::spawn(take_backups(Arc::clone(&system)));
         tokio::spawn(watch_pauses(Arc::clone(&system)));
@@ -641,6 +660,25 @@
         }
     }
 
+    /// Replaces the processes of the earlier build one after the other, evenly over `length`.
+    pub async fn replace_earlier(&self, length: Duration) {
+        let is_earlier = |node: &&Arc<Node>| node.is_earlier.load(Ordering::Relaxed);
+        let earlier: Vec<&Arc<Node>> = self.nodes.iter().filter(is_earlier).collect();
+        let mut spans = Vec::new();
+        for node in &earlier {
+            sleep(length / (earlier.len() as u32 + 1)).await;
+            node.is_earlier.store(false, Ordering::Relaxed);
+            spans.push(open(&node.stops));
+            signal(node, "-TERM").await;
+        }
+        if !earlier.is_empty() {
+            sleep(GRACE).await;
+        }
+        for (node, span) in earlier.into_iter().zip(spans) {
+            close(&node.stops, span);
+        }
+    }
+
     /// Changes how all servers of a service handle requests.
     fn set_service(&self, service: usize, behavior: instance::Behavior) {
         for server in self.servers.lock().iter().filter(|server| server.service == service) {
@@ -779,6 +817,8 @@
         store_link,
         process: AtomicU32::new(0),
         lifetime: AtomicU32::new(0),
+        is_earlier: AtomicBool::new(false),
+        earlier_lifetimes: AtomicU32::new(0),
         disturbed: Mutex::default(),
         kills: Mutex::default(),
         stops: Mutex::default(),
@@ -786,12 +826,14 @@
 }
 
 /// Runs a node's process, and starts it again whenever it ends.
-async fn supervise(system: Arc<System>, node: Arc<Node>, binary: PathBuf) {
+async fn supervise(system: Arc<System>, node: Arc<Node>, programs: Programs) {
     while !system.ended.load(Ordering::Relaxed) {
         let span = open(&node.disturbed);
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&node.log);
         let Ok(log) = log else { return };
-        let child = Command::new(&binary)
+        let is_earlier = node.is_earlier.load(Ordering::Relaxed);
+        let earlier = programs.earlier.as_ref().filter(|_| is_earlier);
+        let child = Command::new(earlier.unwrap_or(&programs.present))
             .arg("serve")
             .env("HEATHERSEAM_CONFIG", &node.settings)
             .stdin(Stdio::null())
@@ -800,7 +842,10 @@
             .kill_on_drop(true)
             .spawn();
         let Ok(mut child) = child else { return };
-        node.lifetime.fetch_add(1, Ordering::Relaxed);
+        let lifetime = node.lifetime.fetch_add(1, Ordering::Relaxed) + 1;
+        if earlier.is_some() {
+            node.earlier_lifetimes.store(lifetime, Ordering::Relaxed);
+        }
         node.process.store(child.id().unwrap_or(0), Ordering::Relaxed);
         let ready = async {
             while http::send(node.address, crate::caller::request("0", "GET", "/view/x"))
