share: three tenths of the tolerance are granted as a higher rate, and seven of what is left are for unreported use

Cause: with four tenths granted, a node that had just started admitted 4 of a burst of 5 at once (shared_level, which was not run with that change).

--- a/crates/process/share/src/common.rs
+++ b/crates/process/share/src/common.rs
@@ -14,7 +14,7 @@
 
 /// The fraction of the tolerance for requests that nodes have not reported; the rest is for the
 /// tokens that their shares keep.
-const UNREPORTED_FRACTION: f64 = 0.5;
+const UNREPORTED_FRACTION: f64 = 0.7;
 /// The fraction of the tolerance by which a request may exceed the rate: reports and tokens that
 /// are given back are known late, and load within the rate must not be refused for that.
 const OVERDRAFT_FRACTION: f64 = 0.25;
--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -108,9 +108,9 @@
 /// The maximum number of nodes whose counts of a key are kept.
 const MAX_NODES: usize = 512;
 /// The fraction of the tolerance that is granted as a higher rate.
-const GRANTED_FRACTION: f64 = 0.4;
+const GRANTED_FRACTION: f64 = 0.3;
 /// The shares of all nodes together keep the tokens of this fraction of the tolerance.
-const SHARE_FRACTION: f64 = 0.5;
+const SHARE_FRACTION: f64 = 0.3;
 /// The tokens that a small share keeps, see [`crate::limit::burst`].
 const MIN_SHARE_TOKENS: f64 = 2.0;
 /// The unreported requests that a standby node may start with.
