replica, gather: refusals of cold and evacuated servers state the right cause and time

Review of allowed regions and cold servers. A server whose cold state had ended with time still counted as limited; the requests refused for a cold server all got the same time to return, that of the next token; and a service whose allowed servers are all evacuated was refused with "no server in its regions".

is_limited takes the time, return_at promises tokens of the limit that leaves less, also of a cold server, and is_evacuated considers the servers of the request's homes.

Measured: cargo test -p replica: the three new tests failed before the change and pass after it, as do the others of the crate.

--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -182,13 +182,14 @@
     /// it has none or one of them accepts requests.
     fn accepts_at(&mut self, now: Time, service: Service) -> Option<Time>;
 
-    /// Whether all servers of `service` are in evacuated data centres.
+    /// Whether all servers of `service` that the request may be sent to are in evacuated data
+    /// centres.
     fn is_evacuated(&mut self, _service: Service) -> bool {
         false
     }
 
     /// Whether a server of `service` names a limit, so that a choice may fail for it.
-    fn is_limited(&mut self, _service: Service) -> bool {
+    fn is_limited(&mut self, _now: Time, _service: Service) -> bool {
         false
     }
 
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -121,7 +121,7 @@
                 None => {
                     let service = self.plan.services[index];
                     let accepts_at = balancer.accepts_at(now, service);
-                    let held_back = held_back(service, accepts_at, balancer);
+                    let held_back = held_back(now, service, accepts_at, balancer);
                     let restricted = || balancer.is_restricted(service).then_some(Cause::NoHome);
                     if let Some(cause) = held_back.or_else(restricted) {
                         self.progress[index].cause = cause;
@@ -221,7 +221,7 @@
             balancer.choose(now, service, self.plan.usual_service_time, &progress.tried)
         else {
             let accepts_at = balancer.accepts_at(now, service);
-            let held_back = held_back(service, accepts_at, balancer);
+            let held_back = held_back(now, service, accepts_at, balancer);
             return self.no_server_left(now, index, purpose, accepts_at, held_back);
         };
         if !self.plan.admits(now, &selection) {
@@ -476,6 +476,7 @@
 /// Why no server of a service may be chosen though it has some: they are in evacuated data
 /// centres, turn requests away until `accepts_at`, or name limits.
 fn held_back(
+    now: Time,
     service: Service,
     accepts_at: Option<Time>,
     balancer: &mut dyn Balancer,
@@ -483,7 +484,7 @@
     if balancer.is_evacuated(service) {
         return Some(Cause::Evacuated);
     }
-    if balancer.is_limited(service) {
+    if balancer.is_limited(now, service) {
         return Some(Cause::Limited);
     }
     accepts_at.map(|_| Cause::TurnedAway)
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -45,8 +45,8 @@
         self.table.accepts_at(now, service, self.choice.homes)
     }
 
-    fn is_limited(&mut self, service: Service) -> bool {
-        self.table.is_limited(service, self.choice.homes)
+    fn is_limited(&mut self, now: Time, service: Service) -> bool {
+        self.table.is_limited(now, service, self.choice.homes)
     }
 
     fn is_restricted(&mut self, service: Service) -> bool {
@@ -54,7 +54,7 @@
     }
 
     fn is_evacuated(&mut self, service: Service) -> bool {
-        self.table.is_evacuated(service)
+        self.table.is_evacuated(service, self.choice.homes)
     }
 
     fn first_send(&mut self, now: Time, service: Service) {
--- a/crates/version/replica/src/record.rs
+++ b/crates/version/replica/src/record.rs
@@ -173,6 +173,19 @@
         self.cold.as_ref().filter(|_| now < self.warmup_until)
     }
 
+    /// Of its limit and what it bears while it is cold, the one that leaves this node less.
+    pub(crate) fn binding(&self, now: Time) -> Option<&Limit> {
+        let limits = self.limit.iter().chain(self.cold(now));
+        limits.min_by(|a, b| a.rate(now).total_cmp(&b.rate(now)))
+    }
+
+    /// See [`Self::binding`].
+    pub(crate) fn binding_mut(&mut self, now: Time) -> Option<&mut Limit> {
+        let cold = self.cold.as_mut().filter(|_| now < self.warmup_until);
+        let limits = self.limit.iter_mut().chain(cold);
+        limits.min_by(|a, b| a.rate(now).total_cmp(&b.rate(now)))
+    }
+
     /// Whether it may get a request: it has turned none away, or it is time for a trial and
     /// none is in flight.
     pub fn accepts(&self, now: Time) -> bool {
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -407,10 +407,12 @@
         }
     }
 
-    /// Whether all servers of `service` are in evacuated data centres.
-    pub fn is_evacuated(&self, service: Service) -> bool {
-        let servers = &self.servers_by_service[service];
-        !servers.is_empty() && servers.iter().all(|server| self.servers[*server].evacuated)
+    /// Whether all servers of `service` that a request with these homes may be sent to are in
+    /// evacuated data centres.
+    pub fn is_evacuated(&self, service: Service, homes: region::Set) -> bool {
+        let mut servers =
+            self.servers_of(service).filter(|server| self.is_allowed(*server, homes)).peekable();
+        servers.peek().is_some() && servers.all(|server| self.servers[server].evacuated)
     }
 
     fn remove_id(&mut self, id: &Arc<str>) -> Option<Server> {
@@ -681,10 +683,10 @@
 
     /// Whether a server of `service` that a request with these homes may be sent to names a limit,
     /// or is cold.
-    pub fn is_limited(&self, service: Service, homes: region::Set) -> bool {
+    pub fn is_limited(&self, now: Time, service: Service, homes: region::Set) -> bool {
         self.allowed(service, homes).any(|server| {
             let record = &self.servers[server];
-            record.limit.is_some() || record.cold.is_some()
+            record.limit.is_some() || record.cold(now).is_some()
         })
     }
 
@@ -695,12 +697,12 @@
         let accepts_at = self.accepts_at(now, service, homes);
         let servers = self.allowed(service, homes);
         let usable = servers.filter(|server| self.servers[*server].accepts(now));
-        let limited = |server: &Server| self.servers[*server].limit.is_some();
-        let rate =
-            |server: Server| self.servers[server].limit.as_ref().map_or(0.0, |l| l.rate(now));
-        let fastest = usable.filter(limited).max_by(|a, b| rate(*a).total_cmp(&rate(*b)));
+        let fastest = usable
+            .filter_map(|server| Some((server, self.servers[server].binding(now)?.rate(now))))
+            .max_by(|(_, a), (_, b)| a.total_cmp(b));
         let promised = fastest
-            .and_then(|server| self.servers[server].limit.as_mut().map(|limit| limit.promise(now)));
+            .and_then(|(server, _)| self.servers[server].binding_mut(now))
+            .map(|limit| limit.promise(now));
         accepts_at.max(promised)
     }
 
--- a/crates/version/replica/tests/cold_server.rs
+++ b/crates/version/replica/tests/cold_server.rs
@@ -55,7 +55,7 @@
     let (mut table, service) = table(WARMUP);
     let server = put(&mut table, START, 1, WARMUP.time);
     assert!(table.choose(START, service, SERVICE_TIME, 0.0, &[]).is_none());
-    assert!(table.is_limited(service, region::Set::ANY));
+    assert!(table.is_limited(START, service, region::Set::ANY));
     table.divide_cold(START, |_, _, _| Quota { even: 5.0, most: 5.0 });
     let mut sent = 0;
     for ms in 0..2000 {
@@ -135,3 +135,26 @@
     table.returned(START, "hall");
     assert!(is_cold(&table, START, server));
 }
+
+/// Guards against refusals that name a limit after the cold state has ended with time.
+#[test]
+fn server_that_was_cold_is_not_limited() {
+    let (mut table, service) = table(WARMUP);
+    put(&mut table, START, 1, WARMUP.time);
+    assert!(table.is_limited(START, service, region::Set::ANY));
+    assert!(!table.is_limited(START + WARMUP.time, service, region::Set::ANY));
+}
+
+/// Guards against refused requests that all return for the same token.
+#[test]
+fn requests_refused_for_a_cold_server_return_one_after_the_other() {
+    let (mut table, service) = table(WARMUP);
+    put(&mut table, START, 1, WARMUP.time);
+    table.divide_cold(START, |_, _, _| Quota { even: 5.0, most: 5.0 });
+    let returns: Vec<Time> =
+        (0..5).filter_map(|_| table.return_at(START, service, region::Set::ANY)).collect();
+    assert_eq!(returns.len(), 5);
+    for pair in returns.windows(2) {
+        assert_eq!(pair[1].since(pair[0]), Duration::from_millis(200), "{returns:?}");
+    }
+}
--- a/crates/version/replica/tests/evacuated_servers.rs
+++ b/crates/version/replica/tests/evacuated_servers.rs
@@ -54,10 +54,10 @@
     assert_eq!(choose(&mut table, later), Some(servers[1]));
     // A limit of an evacuated server is not why a service refuses.
     table.limit_stated(later, servers[0], later, Stated::PerSecond(1.0));
-    assert!(!table.is_limited(service, region::Set::ANY));
-    assert!(!table.is_evacuated(service));
+    assert!(!table.is_limited(later, service, region::Set::ANY));
+    assert!(!table.is_evacuated(service, region::Set::ANY));
     table.set_evacuated(&wing, true);
-    assert!(table.is_evacuated(service));
+    assert!(table.is_evacuated(service, region::Set::ANY));
     assert_eq!(choose(&mut table, later), None);
     table.set_evacuated(&wing, false);
     assert_eq!(choose(&mut table, later), Some(servers[1]));
@@ -73,3 +73,21 @@
     let service = table.intern_service(&Arc::from("desk"));
     assert!(table.choose(START, service, SERVICE_TIME, 0.0, &[]).is_none());
 }
+
+/// Guards against a refusal that names the regions as its cause, though those have servers, which
+/// are evacuated.
+#[test]
+fn service_whose_allowed_servers_are_evacuated_is_evacuated() {
+    let regions = [("hall", "north"), ("wing", "south")];
+    let regions = regions.map(|(centre, region)| (Arc::from(centre), Arc::from(region)));
+    let locality = Locality { data_centre: Arc::from("hall"), regions: HashMap::from(regions) };
+    let mut table = Table::new(locality, 1);
+    table.apply(START, &Change::Up(entry("s0", "hall")));
+    table.apply(START, &Change::Up(entry("s1", "wing")));
+    let service = table.intern_service(&Arc::from("desk"));
+    let (north, south) = (table.region_of("hall"), table.region_of("wing"));
+    table.set_evacuated(&Arc::from("hall"), true);
+    assert!(table.is_evacuated(service, north));
+    assert!(!table.is_evacuated(service, south));
+    assert!(!table.is_evacuated(service, region::Set::NONE));
+}
--- a/crates/version/replica/tests/near_first.rs
+++ b/crates/version/replica/tests/near_first.rs
@@ -119,7 +119,7 @@
     assert!(table.accepts_at(NOW, service, land) >= Some(NOW + SERVICE_TIME * 100));
     assert_eq!(table.accepts_at(NOW, service, island), None);
     table.limit_stated(NOW, near[0], NOW, Stated::PerSecond(1.0));
-    assert!(table.is_limited(service, land) && !table.is_limited(service, island));
+    assert!(table.is_limited(NOW, service, land) && !table.is_limited(NOW, service, island));
     assert_eq!(table.return_at(NOW, service, island), None);
 }
 
