entry, site: evacuations that a copy of the registry lacks reach every node that starts

A node that starts while the registry returns from a copy learned of a held evacuation only if the node that it asked had already listed the new era: the list of the earlier era is dropped as older. It was also ready before it asked, and a node that had missed the evacuation but was not new never heard of the hold.

Answers to all polls name the held evacuations, and those of the earlier era until the answering node has listed the new one; a node takes them over unless they ended there in the same era. A node that has evacuations enabled is ready once it has asked another node. The first list is a stale one, as for the other kinds.

--- a/crates/process/entry/src/evacuations.rs
+++ b/crates/process/entry/src/evacuations.rs
@@ -6,8 +6,10 @@
 use crate::process::Process;
 use crate::registry::Event;
 use crate::registry::Item;
+use crate::registry::Kind;
 use crate::revision::Revision;
 use site::evacuation::Change;
+use site::evacuation::HOLD_TIME;
 use site::evacuation::Origin;
 
 /// The state of the registry in the terms of [`site::evacuation`].
@@ -59,11 +61,15 @@
     }
 }
 
-/// The evacuations that a copy of the registry lacks, with the milliseconds left.
+/// The evacuations that a copy of the registry lacks, with the milliseconds left. Until this node
+/// has listed the objects of the newest era, the copy may lack any of those that it knows.
 pub(crate) fn held(process: &Process) -> Vec<(Arc<str>, u64)> {
+    let revision = process.feeds.borrow().of(Kind::Evacuations).revision();
+    let is_outdated = revision.is_some_and(|known| process.is_outdated(known));
     let evacuations = process.evacuations.borrow();
-    let held = evacuations.held(process.clock.now());
-    held.map(|(name, left)| (Arc::clone(name), left.as_millis() as u64)).collect()
+    let registered = evacuations.registered().filter(|_| is_outdated);
+    let all = registered.map(|name| (name, HOLD_TIME)).chain(evacuations.held(process.clock.now()));
+    all.map(|(name, left)| (Arc::clone(name), left.as_millis() as u64)).collect()
 }
 
 /// The registry's objects, for other nodes.
--- a/crates/process/entry/src/message.rs
+++ b/crates/process/entry/src/message.rs
@@ -100,7 +100,7 @@
     #[serde(default)]
     pub evacuations_age_ms: Option<u64>,
     /// The evacuations that a copy of the registry lacks and for how many milliseconds they are
-    /// still held, for an asking node that is new.
+    /// still held.
     #[serde(default)]
     pub held_evacuations: Vec<(Arc<str>, u64)>,
 }
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -149,7 +149,7 @@
         !self.leaving.get()
             && self.has_server_list.get()
             && self.is_configured()
-            && (!self.has_evacuations() || self.knows_evacuations())
+            && (!self.has_evacuations() || self.has_compared_evacuations())
     }
 
     /// Whether there is a configuration, and its customers' keys were compared with the registry.
@@ -165,6 +165,12 @@
         self.settings.evacuation_bound.is_some()
     }
 
+    /// Whether this node knows the evacuations, and has asked another node for those that its first
+    /// list from the registry lacks: the list may be old, or be one of a copy.
+    fn has_compared_evacuations(&self) -> bool {
+        self.knows_evacuations() && self.is_config_compared.get()
+    }
+
     /// Whether this node has heard which data centres are evacuated.
     pub(crate) fn knows_evacuations(&self) -> bool {
         self.feeds.borrow().of(Kind::Evacuations).revision().is_some()
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -119,7 +119,7 @@
     let evacuations_age_ms = process
         .knows_evacuations()
         .then(|| now.since(process.confirmed_at(Kind::Evacuations)).as_millis() as u64);
-    let held_evacuations = if poll.is_new { evacuations::held(&process) } else { Vec::new() };
+    let held_evacuations = evacuations::held(&process);
     let state = State {
         updates,
         ages_ms,
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -127,11 +127,9 @@
                 }
             }
             // Without a state, an older list will do: the watch that follows brings the
-            // changes since then. But a node is ready once it has the evacuations.
-            None if kind != Kind::Evacuations => {
-                process.registry.list(kind, Freshness::Recent).await
-            }
-            _ => {
+            // changes since then.
+            None => process.registry.list(kind, Freshness::Recent).await,
+            Some(_) => {
                 if outdated {
                     sleep(return_delay(&process)).await;
                 }
--- a/crates/version/site/src/evacuation.rs
+++ b/crates/version/site/src/evacuation.rs
@@ -47,6 +47,10 @@
 #[derive(Debug, Default)]
 pub struct Evacuations {
     by_data_centre: HashMap<Arc<str>, Evacuation>,
+    /// The newest era that is known.
+    era: u64,
+    /// The data centres whose evacuations ended in that era. Other nodes may still hold them.
+    ended: HashSet<Arc<str>>,
 }
 
 impl Evacuations {
@@ -82,6 +86,8 @@
 
     /// Records that the registry has an object of `data_centre`.
     pub fn put(&mut self, now: Time, origin: Origin, data_centre: &Arc<str>) -> Option<Change> {
+        self.observe_era(origin.era);
+        self.ended.remove(data_centre);
         if let Some(known) = self.by_data_centre.get_mut(data_centre) {
             known.held_until = None;
             return None;
@@ -93,7 +99,9 @@
 
     /// Records that the object of `data_centre` was removed.
     pub fn removed(&mut self, data_centre: &str) -> Option<Change> {
-        self.by_data_centre.remove_entry(data_centre).map(|(name, _)| Change::Ended(name))
+        let (name, _) = self.by_data_centre.remove_entry(data_centre)?;
+        self.ended.insert(Arc::clone(&name));
+        Some(Change::Ended(name))
     }
 
     /// Applies a complete list of the objects; `is_copy` tells whether it is the first one of a
@@ -105,6 +113,7 @@
         list: &[Arc<str>],
         is_copy: bool,
     ) -> Vec<Change> {
+        self.observe_era(origin.era);
         let mut changes: Vec<Change> =
             list.iter().filter_map(|name| self.put(now, origin, name)).collect();
         let listed: HashSet<&Arc<str>> = list.iter().collect();
@@ -116,6 +125,7 @@
         self.by_data_centre.retain(|name, known| {
             let stays = listed.contains(name) || known.held_until.is_some();
             if !stays {
+                self.ended.insert(Arc::clone(name));
                 changes.push(Change::Ended(Arc::clone(name)));
             }
             stays
@@ -123,7 +133,8 @@
         changes
     }
 
-    /// Records that another node still holds the evacuation of `data_centre` for `left`.
+    /// Records that another node still holds the evacuation of `data_centre` for `left`, unless it
+    /// has ended here in the same era.
     pub fn hold(
         &mut self,
         now: Time,
@@ -131,7 +142,8 @@
         data_centre: &Arc<str>,
         left: Duration,
     ) -> Option<Change> {
-        if self.contains(data_centre) || left.is_zero() {
+        self.observe_era(origin.era);
+        if self.contains(data_centre) || self.ended.contains(data_centre) || left.is_zero() {
             return None;
         }
         let held_until = Some(now + left.min(HOLD_TIME));
@@ -140,6 +152,13 @@
         Some(Change::Began(Arc::clone(data_centre)))
     }
 
+    fn observe_era(&mut self, era: u64) {
+        if era > self.era {
+            self.era = era;
+            self.ended.clear();
+        }
+    }
+
     /// Ends the evacuations that were held for long enough.
     pub fn expire(&mut self, now: Time) -> Vec<Change> {
         let is_over = |known: &Evacuation| known.held_until.is_some_and(|until| until <= now);
@@ -147,6 +166,7 @@
         self.by_data_centre.retain(|name, known| {
             let ends = is_over(known);
             if ends {
+                self.ended.insert(Arc::clone(name));
                 changes.push(Change::Ended(Arc::clone(name)));
             }
             !ends
--- a/crates/version/site/tests/evacuation_hold.rs
+++ b/crates/version/site/tests/evacuation_hold.rs
@@ -72,3 +72,27 @@
     assert_eq!(evacuations.held(at(1000)).next(), Some((&hall(), left - (at(1000).since(at(0))))));
     assert_eq!(evacuations.expire(at(0) + left), [Change::Ended(hall())]);
 }
+
+/// Guards against an evacuation that operators ended, and that begins again because another node,
+/// which has not heard of its end, still holds it.
+#[test]
+fn evacuation_that_ended_here_is_not_taken_over() {
+    let mut evacuations = Evacuations::default();
+    evacuations.put(at(0), COPY, &hall());
+    evacuations.removed("hall-a");
+    assert_eq!(evacuations.hold(at(100), COPY, &hall(), HOLD_TIME), None);
+    // A state of a later era is another history.
+    let later = Origin { era: 3, revision: 1 };
+    let began = Some(Change::Began(hall()));
+    assert_eq!(evacuations.hold(at(200), later, &hall(), HOLD_TIME), began);
+}
+
+/// Guards against a held evacuation that begins again at each node that ended it a moment before
+/// the others.
+#[test]
+fn expired_hold_is_not_taken_over_again() {
+    let mut evacuations = Evacuations::default();
+    evacuations.hold(at(0), COPY, &hall(), HOLD_TIME);
+    assert_eq!(evacuations.expire(at(0) + HOLD_TIME).len(), 1);
+    assert_eq!(evacuations.hold(at(10_100), COPY, &hall(), HOLD_TIME / 20), None);
+}
