entry, replica: log when the cold state of servers begins

Only a reply's statement was logged; a cold state that begins with an entry, a return from an evacuation or an accepted connection after a refused one left no trace. One line a batch of entries and a return names at most eight servers and their number; one a server after a refusal, only if it was not cold before. Nothing is collected where the deployment bounds no cold servers.

Measured: cargo test -p replica passes (accepted tells whether the cold state begins); no test reads the lines themselves.

--- a/crates/process/entry/src/evacuations.rs
+++ b/crates/process/entry/src/evacuations.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::limits;
 use crate::process::Process;
 use crate::registry::Event;
 use crate::registry::Item;
@@ -87,10 +88,11 @@
                 log::warn!(target: "servers", data_centre = name.as_ref(), era = origin.era, revision = origin.revision, source; "A data centre is evacuated; its servers get no requests.");
             }
             Change::Ended(name) => {
-                let mut table = process.table.borrow_mut();
-                table.set_evacuated(name, false);
-                table.returned(process.clock.now(), name);
+                let cold = limits::cold_servers(process);
+                process.table.borrow_mut().set_evacuated(name, false);
+                process.table.borrow_mut().returned(process.clock.now(), name);
                 log::warn!(target: "servers", data_centre = name.as_ref(), source; "The evacuation of a data centre ended; its servers get requests again.");
+                limits::log_new_cold(process, &cold, "return from an evacuation");
             }
         }
     }
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -296,7 +296,9 @@
     }
     {
         let mut table = process.table.borrow_mut();
-        table.accepted(now, server);
+        if table.accepted(now, server) {
+            log::info!(target: "servers", server = table.record(server).incarnation.id.as_ref(), source = "refused connection"; "A server is cold.");
+        }
         if !table.has_token(now, server, guard.started) {
             return AttemptOutcome::NotSent("it is cold");
         }
--- a/crates/process/entry/src/limits.rs
+++ b/crates/process/entry/src/limits.rs
@@ -1,6 +1,7 @@
 //! Limits that servers name: what replies and other nodes say of them, this node's parts, and
 //! what it sends meanwhile.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use crate::process::Process;
@@ -17,6 +18,9 @@
 use share::part::Claim;
 use share::part::Report;
 
+/// The number of cold servers that a log line names.
+const MAX_LOGGED_SERVERS: usize = 8;
+
 /// Takes note of what the reply to a request that was sent at `sent` says about a limit.
 pub(crate) fn on_reply(process: &Process, server: Server, sent: Time, stated: Stated) {
     let now = process.clock.now();
@@ -55,6 +59,31 @@
     }
 }
 
+/// The cold servers; none if the deployment bounds no cold servers.
+pub(crate) fn cold_servers(process: &Process) -> HashSet<Server> {
+    if process.settings.warmup.is_none() {
+        return HashSet::new();
+    }
+    let table = process.table.borrow();
+    table.cold(process.clock.now()).map(|(server, _)| server).collect()
+}
+
+/// Logs in one line, whatever their number, which servers are cold that are not in `before`.
+pub(crate) fn log_new_cold(process: &Process, before: &HashSet<Server>, source: &str) {
+    let mut began = cold_servers(process);
+    began.retain(|server| !before.contains(server));
+    let table = process.table.borrow();
+    let mut ids: Vec<&str> =
+        began.iter().map(|server| &*table.record(*server).incarnation.id).collect();
+    if ids.is_empty() {
+        return;
+    }
+    ids.sort_unstable();
+    let count = ids.len();
+    ids.truncate(MAX_LOGGED_SERVERS);
+    log::info!(target: "servers", count, servers = ids.join(", "), source; "Servers are cold.");
+}
+
 /// Logs how many requests this node has sent to each server that names a limit.
 pub(crate) fn report(process: &Process) {
     let now = process.clock.now();
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -17,6 +17,7 @@
 use crate::customers;
 use crate::evacuations;
 use crate::feed::Relation;
+use crate::limits;
 use crate::members::Peer;
 use crate::process::ListedNodes;
 use crate::process::Process;
@@ -413,6 +414,7 @@
 /// Applies changes of the servers to the table and to the connections.
 fn apply_changes(process: &Process, changes: &[Change]) {
     let now = process.clock.now();
+    let cold = limits::cold_servers(process);
     for change in changes {
         if !matches!(change, Change::Up(_)) {
             log::info!(target: "servers", change:? = change; "A server's state changed.");
@@ -423,6 +425,7 @@
         }
     }
     if !changes.is_empty() {
+        limits::log_new_cold(process, &cold, "entry");
         update_shares(process);
     }
 }
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -359,11 +359,14 @@
     }
 
     /// Records that a connection to a server is open; if it refused the last one, it may have
-    /// started again.
-    pub fn accepted(&mut self, now: Time, server: Server) {
-        if std::mem::take(&mut self.servers[server].refuses) {
-            self.assume_cold(now, server);
-        }
+    /// started again. Returns whether its cold state begins.
+    pub fn accepted(&mut self, now: Time, server: Server) -> bool {
+        if !std::mem::take(&mut self.servers[server].refuses) {
+            return false;
+        }
+        let was_cold = self.servers[server].cold(now).is_some();
+        self.assume_cold(now, server);
+        !was_cold && self.servers[server].cold(now).is_some()
     }
 
     /// Assumes that a server is as cold as after its start, if its service names a bound.
--- a/crates/version/replica/tests/cold_server.rs
+++ b/crates/version/replica/tests/cold_server.rs
@@ -115,14 +115,14 @@
     table.started(START, server);
     table.connect_failed(START, server);
     let later = START + Duration::from_secs(1);
-    table.accepted(later, server);
+    assert!(table.accepted(later, server));
     assert!(is_cold(&table, later, server));
     assert!(!table.has_token(later, server, START));
     let not_sent = Observation::NotSent;
     table.observe(later, server, START, START, SERVICE_TIME, not_sent);
     // A connection that was not refused before says nothing.
     table.set_warmup_left(later, server, Duration::ZERO);
-    table.accepted(later, server);
+    assert!(!table.accepted(later, server));
     assert!(!is_cold(&table, later, server));
 }
 
