--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -17,6 +17,7 @@
 use crate::customers;
 use crate::evacuations;
 use crate::feed::Relation;
+use crate::limits;
 use crate::members::Peer;
 use crate::process::ListedNodes;
 use crate::process::Process;
@@ -127,11 +128,9 @@
                 }
             }
             // Without a state, an older list will do: the watch that follows brings the
-            // changes since then. But a node is ready once it has the evacuations.
-            None if kind != Kind::Evacuations => {
-                process.registry.list(kind, Freshness::Recent).await
-            }
-            _ => {
+            // changes since then.
+            None => process.registry.list(kind, Freshness::Recent).await,
+            Some(_) => {
                 if outdated {
                     sleep(return_delay(&process)).await;
                 }
@@ -415,6 +414,7 @@
 /// Applies changes of the servers to the table and to the connections.
 fn apply_changes(process: &Process, changes: &[Change]) {
     let now = process.clock.now();
+    let cold = limits::cold_servers(process);
     for change in changes {
         if !matches!(change, Change::Up(_)) {
             log::info!(target: "servers", change:? = change; "A server's state changed.");
@@ -425,6 +425,7 @@
         }
     }
     if !changes.is_empty() {
+        limits::log_new_cold(process, &cold, "entry");
         update_shares(process);
     }
 }
