entry: a configuration that an earlier build passes on is not used where it may lack customers or regions

Cause: an earlier build drops the customers and the allowed regions of a configuration, and a node that polled it used what was left: it checked no keys, and passed keys on to servers, until its next version (found by the soak beside an earlier build). Answers to polls now state the format of the configuration that the node passes on whole; where a deployment has evacuations, quotas or cold servers, a node of an earlier build is not followed, as one that doesn't answer.

--- a/crates/process/entry/src/message.rs
+++ b/crates/process/entry/src/message.rs
@@ -20,6 +20,10 @@
 use crate::revision::Revision;
 use site::register::Incarnation;
 
+/// The format of the configuration that this build passes on whole: with customers, allowed
+/// regions and cold servers. Builds before it state none, and drop these.
+pub const CONFIG_FORMAT: u32 = 1;
+
 /// The kinds that are passed on to every node.
 pub const KINDS: [Kind; 2] = [Kind::Config, Kind::Servers];
 
@@ -103,6 +107,16 @@
     /// still held.
     #[serde(default)]
     pub held_evacuations: Vec<(Arc<str>, u64)>,
+    /// The format of the configuration that the answering node can pass on whole.
+    #[serde(default)]
+    pub config_format: u32,
+}
+
+impl State {
+    /// Whether a configuration in it may lack what an earlier build does not know.
+    pub fn may_lack_fields(&self) -> bool {
+        self.config_format < CONFIG_FORMAT
+    }
 }
 
 /// Encodes a message with the names of its fields.
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -129,6 +129,7 @@
         leaving,
         evacuations_age_ms,
         held_evacuations,
+        config_format: message::CONFIG_FORMAT,
     };
     match message::encode(&state) {
         Ok(bytes) => Answer::new(Full::new(Bytes::from(bytes))),
@@ -200,7 +201,7 @@
         let wait = process.settings.timing.poll_wait;
         let poll = poll(&process, &mut links, ip, wait, false);
         match timeout(wait + POLL_TIMEOUT, poll).await {
-            Ok(Ok(state)) => {
+            Ok(Ok(state)) if !is_unsuited(&process, &state) => {
                 process.metrics.record_peer_poll("answered");
                 apply(&process, state);
             }
@@ -208,6 +209,7 @@
                 links.remove(&ip);
                 process.metrics.record_peer_poll("failed");
                 let reason = match failure {
+                    Ok(Ok(_)) => "its build drops fields of the configuration".to_owned(),
                     Ok(Err(error)) => error.to_string(),
                     _ => "no answer in time".to_owned(),
                 };
@@ -277,6 +279,16 @@
     Ok(message::decode(&body)?)
 }
 
+/// Whether the configuration of the answering node, of an earlier build, may lack fields that this
+/// deployment uses: without its customers, this node would check no keys.
+fn is_unsuited(process: &Process, state: &State) -> bool {
+    let settings = &process.settings;
+    let uses_new_fields = settings.evacuation_bound.is_some()
+        || settings.allowance.is_some()
+        || settings.warmup.is_some();
+    uses_new_fields && state.may_lack_fields()
+}
+
 fn apply(process: &Process, state: State) {
     if let Some(age) = state.outage_age_ms {
         let now = process.clock.now();
@@ -332,7 +344,7 @@
         let mut links = Links::new();
         let poll = poll(process, &mut links, ip, Duration::ZERO, true);
         match timeout(POLL_TIMEOUT, poll).await {
-            Ok(Ok(state)) if suffices(&state) => {
+            Ok(Ok(state)) if suffices(&state) && !is_unsuited(process, &state) => {
                 log::info!(target: "members", peer:% = ip, updates = state.updates.len(); "The registry's state was received from a peer.");
                 return apply(process, state);
             }
--- a/crates/process/entry/tests/build_compatibility.rs
+++ b/crates/process/entry/tests/build_compatibility.rs
@@ -9,6 +9,7 @@
 use crate::support::peer;
 use entry::members::Heartbeat;
 use entry::message;
+use entry::message::CONFIG_FORMAT;
 use entry::message::Poll;
 use entry::message::State;
 use entry::message::Update;
@@ -115,6 +116,7 @@
         leaving: vec![incarnation()],
         evacuations_age_ms: None,
         held_evacuations: Vec::new(),
+        config_format: 0,
     }
 }
 
@@ -159,6 +161,17 @@
     assert_eq!(read(&written), read(STATE));
 }
 
+/// A configuration that an earlier build passes on lacks the customers: a node that used it would
+/// check no keys.
+#[test]
+fn configuration_of_an_earlier_build_may_lack_fields() {
+    let earlier = message::decode::<State>(STATE).expect("answer");
+    assert!(earlier.may_lack_fields());
+    let written = message::encode(&State { config_format: CONFIG_FORMAT, ..state() });
+    let present = message::decode::<State>(&written.expect("encodes")).expect("answer");
+    assert!(!present.may_lack_fields());
+}
+
 /// An update of a kind that the asking node doesn't know makes its whole answer unreadable.
 #[test]
 fn evacuations_are_sent_only_to_nodes_that_know_them() {
