share, entry: long partitions, partitions under overload and mixed builds keep the bound

Cause: after 20 s both sides of a partition had forgotten each other, and each divided the whole rate; so did a node that had been frozen as long. Until heartbeats were missed, for up to 1.6 s, both sides of a partition used the whole rate. A node of an earlier build sends no usage, and its part went to the others through the common bucket. The counts of replaced nodes filled the 512 places of a key, after which the use of further nodes was not counted. Change: a node that hears less than half counts those that it has forgotten, and gives its share up after 17 s if a majority may exist without it. Above 1.5 times the rate the part of a node whose reports are 0.8 s overdue is reserved. A serving node without use sends an empty datagram every 2 s, and the share of one that sends none is reserved. Counts without use for 60 s are forgotten.

--- a/crates/process/entry/src/usage.rs
+++ b/crates/process/entry/src/usage.rs
@@ -4,6 +4,7 @@
 //! Invariant: nothing is sent, and nothing is kept, unless the configuration has a customer with a
 //! rate and the settings have the bound that it implies.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -33,8 +34,14 @@
 const MARK: [u8; 2] = [0xc1, 0xc1];
 /// How long a standby node that has reported use is told of the others' use.
 const LISTENER_LIFETIME: Duration = Duration::from_secs(20);
-/// The maximum number of such nodes.
-const MAX_LISTENERS: usize = 256;
+/// The maximum number of such nodes, and of those that have sent usage.
+const MAX_LISTENERS: usize = 512;
+/// The longest interval between two datagrams: a node without use sends an empty one, so that it is
+/// not taken for one of an earlier build, which sends none.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// A node is taken for one of an earlier build if it is known for so long and has sent no usage in
+/// that time: three empty datagrams, since they are lost.
+const MAX_MUTE_TIME: Duration = Duration::from_secs(6);
 
 /// The use of the customers' rates, as this node knows it.
 pub struct State {
@@ -43,6 +50,9 @@
     book: RefCell<Option<Book>>,
     /// The nodes that have reported use, and when.
     listeners: RefCell<HashMap<IpAddr, Time>>,
+    /// When each node was last heard with usage, or has become known.
+    heard: RefCell<HashMap<IpAddr, Time>>,
+    sent_at: Cell<Time>,
     /// Notified when a report is due, and when there is a book.
     changed: Notify,
 }
@@ -54,6 +64,8 @@
             bound,
             book: RefCell::new(None),
             listeners: RefCell::default(),
+            heard: RefCell::default(),
+            sent_at: Cell::new(Time::ZERO),
             changed: Notify::new(),
         }
     }
@@ -126,9 +138,12 @@
     let mut book = state.book.borrow_mut();
     let Some(book) = book.as_mut() else { return };
     let now = context.now();
-    book.divide(now, &Nodes::new(context, now));
+    let nodes = Nodes::new(context, now);
+    book.divide(now, &nodes);
     let is_recent = |at: Time| now.since(at) < LISTENER_LIFETIME;
     state.listeners.borrow_mut().retain(|_, at| is_recent(*at));
+    let is_other = |ip: &IpAddr| nodes.others.iter().any(|peer| peer.ip == *ip);
+    state.heard.borrow_mut().retain(|ip, at| is_recent(*at) || is_other(ip));
 }
 
 /// The nodes among which the rates are divided.
@@ -142,11 +157,17 @@
     fn new(context: &dyn Context, now: Time) -> Self {
         let members = context.members().borrow();
         let own = members.own();
+        let mut heard = context.usage().heard.borrow_mut();
+        let mut reports = |ip| now.since(*heard.entry(ip).or_insert(now)) < MAX_MUTE_TIME;
         // All serving nodes count, whether or not they are near a server.
         let others = members
             .claims(now, 0, &own.data_centre)
             .into_iter()
-            .map(|claim| Peer { ip: claim.ip, is_present: claim.is_present })
+            .map(|claim| Peer {
+                ip: claim.ip,
+                is_present: claim.is_present,
+                reports: reports(claim.ip),
+            })
             .collect();
         Self { own: own.ip, shares: context.shares(), others }
     }
@@ -192,13 +213,17 @@
 }
 
 fn is_due(context: &dyn Context) -> bool {
-    context.usage().book.borrow().as_ref().is_some_and(|book| book.is_report_due(context.now()))
+    let (state, now) = (context.usage(), context.now());
+    let is_silent =
+        context.shares().serving && now.since(state.sent_at.get()) >= MAX_REPORT_INTERVAL;
+    state.book.borrow().as_ref().is_some_and(|book| is_silent || book.is_report_due(now))
 }
 
 async fn send_report(context: &dyn Context, socket: &UdpSocket) {
     let now = context.now();
     let usages =
         context.usage().book.borrow_mut().as_mut().map(|book| book.report(now)).unwrap_or_default();
+    context.usage().sent_at.set(now);
     let Some(datagram) = encode(context.incarnation(), &usages) else { return };
     let targets = targets(context, now);
     for ip in &targets {
@@ -219,9 +244,6 @@
 }
 
 fn encode(incarnation: u64, usages: &[Usage]) -> Option<Vec<u8>> {
-    if usages.is_empty() {
-        return None;
-    }
     let mut datagram = MARK.to_vec();
     match rmp_serde::encode::write(&mut datagram, &(incarnation, usages)) {
         Ok(()) => Some(datagram),
@@ -247,9 +269,15 @@
     };
     let now = context.now();
     book.on_report(now, from.ip(), incarnation, &usages);
-    let mut listeners = state.listeners.borrow_mut();
-    if listeners.len() < MAX_LISTENERS || listeners.contains_key(&from.ip()) {
-        listeners.insert(from.ip(), now);
+    let note = |nodes: &RefCell<HashMap<IpAddr, Time>>| {
+        let mut nodes = nodes.borrow_mut();
+        if nodes.len() < MAX_LISTENERS || nodes.contains_key(&from.ip()) {
+            nodes.insert(from.ip(), now);
+        }
+    };
+    note(&state.heard);
+    if !usages.is_empty() {
+        note(&state.listeners);
     }
     true
 }
--- a/crates/process/entry/tests/usage_exchange.rs
+++ b/crates/process/entry/tests/usage_exchange.rs
@@ -35,6 +35,8 @@
 
 struct Node {
     clock: Clock,
+    /// Time that has passed beside that of the clock.
+    passed: Cell<Duration>,
     usage: State,
     members: RefCell<Members>,
     port: u16,
@@ -43,7 +45,7 @@
 
 impl Context for Node {
     fn now(&self) -> Time {
-        self.clock.now()
+        self.clock.now() + self.passed.get()
     }
 
     fn usage(&self) -> &State {
@@ -71,13 +73,14 @@
     }
 }
 
+fn peer(last: u8) -> Peer {
+    let ip = IpAddr::from([127, 0, 0, last]);
+    Peer { ip, data_centre: Arc::from("hall-a"), capacity: 1000 }
+}
+
 /// Node `number` and its socket; runs until the test ends.
 async fn start(number: usize, port: u16, rates: HashMap<u32, Rate>) -> (Rc<Node>, u16) {
-    let peers = [1, 2].map(|last| Peer {
-        ip: IpAddr::from([127, 0, 0, last]),
-        data_centre: Arc::from("hall-a"),
-        capacity: 1000,
-    });
+    let peers = [1, 2].map(peer);
     let socket = Rc::new(UdpSocket::bind((peers[number].ip, port)).await.expect("a socket"));
     let port = socket.local_addr().expect("an address").port();
     let mut members = members(&peers[number]);
@@ -85,6 +88,7 @@
     members.on_heartbeat(Time::from_millis(0), other.ip, heartbeat(other, 1));
     let node = Rc::new(Node {
         clock: Clock::new(),
+        passed: Cell::default(),
         usage: State::new(Some(BOUND)),
         members: RefCell::new(members),
         port,
@@ -126,6 +130,35 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// Guards against nodes without use being taken for ones of an earlier build, whose share is
+/// reserved since they report nothing, and against the opposite.
+#[tokio::test]
+async fn silence_of_idle_nodes() {
+    let run = async {
+        for hears in [true, false] {
+            let (first, port) = start(0, 0, rates(100.0)).await;
+            let second_rates = if hears { rates(100.0) } else { HashMap::new() };
+            let (second, _) = start(1, port, second_rates).await;
+            let mut count = 0;
+            for step in 0..160 {
+                // 16 s in which each node sends heartbeats, and the first one has requests.
+                for node in [&first, &second] {
+                    node.passed.set(Duration::from_millis(100 * step));
+                    let other = peer(1 + u8::from(Rc::ptr_eq(node, &first)));
+                    let beat = heartbeat(&other, 1);
+                    node.members.borrow_mut().on_heartbeat(node.now(), other.ip, beat);
+                    usage::divide(&**node);
+                }
+                let admitted = admitted(&first);
+                count += if step < 100 { 0 } else { admitted };
+                sleep(Duration::from_millis(10)).await;
+            }
+            assert_eq!(count > 400, hears, "{count} in 6 s");
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against datagrams and limits in a deployment whose customers have no rates.
 #[tokio::test]
 async fn customers_without_rates() {
@@ -145,6 +178,7 @@
 fn distinct_marks() {
     let node = Node {
         clock: Clock::new(),
+        passed: Cell::default(),
         usage: State::new(Some(BOUND)),
         members: RefCell::new(members(&support::peer(0, 0, 1000))),
         port: 1,
--- a/crates/process/share/src/usage.rs
+++ b/crates/process/share/src/usage.rs
@@ -54,6 +54,8 @@
     pub ip: IpAddr,
     /// Whether its heartbeats arrive.
     pub is_present: bool,
+    /// Whether it reports its use; a node of an earlier build does not.
+    pub reports: bool,
 }
 
 /// What the division needs to know of the nodes.
@@ -79,10 +81,25 @@
 const SENDS: u32 = 3;
 /// Without a call of [`Book::divide`] for so long, the process was frozen: three heartbeats.
 const MAX_DIVIDE_INTERVAL: Duration = Duration::from_millis(1200);
+/// The others keep the share of a silent node for 20 s. A node that hears only a minority gives its
+/// share up so long after it noticed that, which takes up to 1.6 s, so that none of the others has
+/// forgotten it yet.
+const LEASE: Duration = Duration::from_secs(17);
+/// Nodes that were silent for so long when they were forgotten have not announced that they leave.
+const MIN_SILENCE: Duration = Duration::from_secs(10);
+/// How long forgotten nodes count for a node that hears less than half of the others: longer than
+/// most partitions and than it takes to replace VMs.
+const REMEMBERED_TIME: Duration = Duration::from_secs(600);
 /// How long a node that has just started, or hears the others again, takes their levels.
 const LEARNING_TIME: Duration = Duration::from_millis(1000);
 /// How long a node counts as using a key after its last use.
 const ACTIVE_TIME: Duration = Duration::from_millis(1500);
+/// While the demand is above [`OVERLOAD`] times the rate, users report every 50 to 100 ms. The part of
+/// one that was not heard for this time is reserved before its heartbeats are missed, which takes
+/// up to 1.6 s: in a partition both sides would use the whole rate until then.
+const OVERDUE_TIME: Duration = Duration::from_millis(800);
+/// Load below the rate that moves between nodes counts twice for a moment, but not this often.
+const OVERLOAD: f64 = 1.5;
 /// How long a standby node is surely told of others' use after its own: somewhat less than the 20 s
 /// for which they remember its reports.
 const TOLD_TIME: Duration = Duration::from_secs(15);
@@ -219,12 +236,19 @@
 #[derive(Clone, Debug, Default)]
 struct Nodes {
     is_serving: bool,
-    /// The hashes of this node's address, of those of all serving nodes and of the silent ones.
+    /// The hashes of this node's address, of those of all serving nodes and of those whose shares
+    /// are reserved, since they are silent or don't report their use.
     own: u64,
     hashes: Vec<u64>,
     silent: Vec<u64>,
+    /// The others, and since when each of them is silent.
+    known: Vec<(IpAddr, Option<Time>)>,
     /// Whether this node hears half of the others.
     is_connected: bool,
+    /// Since when it does not.
+    lost_since: Option<Time>,
+    /// Whether others may have divided its share among them, as they form a majority without it.
+    is_lapsed: bool,
     divided_at: Option<Time>,
     /// Since when it hears them, or its start.
     learning_since: Time,
@@ -246,6 +270,36 @@
         self.hashes.len().max(1)
     }
 
+    /// Takes in the other nodes. Returns them with those that were forgotten after a long silence:
+    /// they count while this node hears less than half of all, since it may be the one that is cut
+    /// off.
+    fn set_others(&mut self, now: Time, mut others: Vec<Peer>, is_serving: bool) -> Vec<Peer> {
+        let present = others.iter().filter(|peer| peer.is_present).count();
+        let frozen_at = self.divided_at.filter(|at| now.since(*at) >= MAX_DIVIDE_INTERVAL);
+        let is_forgotten = |(ip, since): &(IpAddr, Option<Time>)| {
+            let silence = since.or(frozen_at).map(|since| now.since(since));
+            silence.is_some_and(|silence| (MIN_SILENCE..REMEMBERED_TIME).contains(&silence))
+                && others.iter().all(|peer| peer.ip != *ip)
+        };
+        let forgotten: Vec<IpAddr> =
+            self.known.iter().filter(|known| is_forgotten(known)).map(|(ip, _)| *ip).collect();
+        self.is_connected = 2 * present >= others.len() + forgotten.len();
+        if !self.is_connected {
+            let peer = |ip| Peer { ip, is_present: false, reports: true };
+            others.extend(forgotten.into_iter().map(peer));
+        }
+        let before: HashMap<IpAddr, Option<Time>> = self.known.drain(..).collect();
+        let silent_since = |ip| before.get(&ip).copied().flatten().or(frozen_at).unwrap_or(now);
+        let known = |peer: &Peer| (peer.ip, (!peer.is_present).then(|| silent_since(peer.ip)));
+        self.known = others.iter().map(known).collect();
+        let lost_since = self.lost_since.or(frozen_at).unwrap_or(now);
+        self.lost_since = (!self.is_connected).then_some(lost_since);
+        let own = usize::from(is_serving);
+        let is_minority = 2 * (present + own) < others.len() + own;
+        self.is_lapsed = is_minority && self.lost_since.is_some_and(|at| now.since(at) >= LEASE);
+        others
+    }
+
     /// The share of `own` in a key's rate, as a fraction, and that of all silent nodes.
     fn fractions(&self, key: u32, tolerance: f64) -> (f64, f64) {
         let most = (tolerance * SHARE_FRACTION / MIN_SHARE_TOKENS) as usize;
@@ -409,6 +463,7 @@
         let mut usages = Vec::with_capacity(keys.len());
         for key in keys {
             let Some(entry) = self.entries.get_mut(&key) else { continue };
+            refresh(&self.nodes, now, key, entry);
             let demand = entry.limit.demand() as f32;
             let Some(common) = entry.limit.common_mut() else { continue };
             common.reported();
@@ -473,11 +528,9 @@
     /// Decides this node's parts again; called with each heartbeat.
     pub fn divide(&mut self, now: Time, fleet: &dyn Fleet) {
         let nodes = &mut self.nodes;
-        let others = fleet.others();
-        let present = others.iter().filter(|peer| peer.is_present).count();
-        let is_connected = 2 * present >= others.len();
         let was_open = nodes.is_open(now);
-        if nodes.divided_at.is_none() || is_connected && !was_open {
+        let others = nodes.set_others(now, fleet.others(), fleet.is_serving());
+        if nodes.divided_at.is_none() || nodes.is_connected && !was_open {
             nodes.learning_since = now;
             self.entries.values_mut().for_each(|entry| {
                 if let Some(common) = entry.limit.common_mut() {
@@ -488,20 +541,23 @@
         let hash = |ip: IpAddr| base::hash::stable(0, &[&ip.to_string()]);
         nodes.own = hash(fleet.own());
         nodes.is_serving = fleet.is_serving();
-        nodes.is_connected = is_connected;
         nodes.divided_at = Some(now);
         nodes.number += 1;
         nodes.hashes = others.iter().map(|peer| hash(peer.ip)).collect();
         if nodes.is_serving {
             nodes.hashes.push(nodes.own);
         }
-        nodes.silent =
-            others.iter().filter(|peer| !peer.is_present).map(|peer| hash(peer.ip)).collect();
+        // A standby node hears of others' reports only after its own.
+        let is_serving = nodes.is_serving;
+        let is_silent = |peer: &&Peer| !peer.is_present || is_serving && !peer.reports;
+        nodes.silent = others.iter().filter(is_silent).map(|peer| hash(peer.ip)).collect();
         let (nodes, entries) = (&self.nodes, &mut self.entries);
         self.active.retain(|key| {
             let Some(entry) = entries.get_mut(key) else { return false };
             entry.limit.meter(now);
             refresh(nodes, now, *key, entry);
+            // Nodes that were replaced must leave room for those that use the key now.
+            entry.counts.retain(|count| now.since(count.used_at) < KEPT_TIME);
             let is_kept = entry.last_use().is_some_and(|at| now.since(at) < KEPT_TIME);
             if !is_kept {
                 entry.counts = Vec::new();
@@ -539,16 +595,20 @@
         entry.divided = Some(nodes.number);
     }
     let (own, silent) = entry.fractions;
-    let has_share = nodes.is_serving && !nodes.is_learning(now);
+    let has_share = nodes.is_serving && !nodes.is_learning(now) && !nodes.is_lapsed;
     let even = if has_share { rate.per_second * own } else { 0.0 };
     entry.limit.set_quota(now, Quota { even, most: even });
-    let active = entry.counts.iter().filter(|count| count.is_active(now));
+    let active = || entry.counts.iter().filter(|count| count.is_active(now));
     let (users, others_demand) =
-        active.fold((1, 0.0), |(users, demand), count| (users + 1, demand + count.demand));
+        active().fold((1, 0.0), |(users, demand), count| (users + 1, demand + count.demand));
     let is_new = now.since(entry.active_since) < REPORT_DELAY;
     let competitors = if is_new { nodes.count().max(users) } else { users };
     let demand = entry.limit.demand();
     let all = demand + others_demand;
+    let is_overdue = |count: &&Count| now.since(count.used_at) >= OVERDUE_TIME;
+    let overdue_demand: f64 = active().filter(is_overdue).map(|count| count.demand).sum();
+    let is_overload = all > rate.per_second * OVERLOAD;
+    let overdue = if is_overload { overdue_demand / all } else { 0.0 };
     let is_learning =
         nodes.divided_at.is_some() && (nodes.is_learning(now) || entry.is_learning(now));
     let is_calm = !is_learning && all <= rate.per_second;
@@ -560,7 +620,7 @@
         demand_fraction: if all > 0.0 { (demand / all).max(1.0 / users as f64 / 4.0) } else { 1.0 },
         others_demand,
         is_learning,
-        refill: 1.0 - silent,
+        refill: 1.0 - silent.max(overdue),
     };
     if let Some(common) = entry.limit.common_mut() {
         common.set_access(now, access);
--- a/crates/process/share/tests/common_bucket.rs
+++ b/crates/process/share/tests/common_bucket.rs
@@ -1,6 +1,7 @@
 //! Customers' rates over many nodes, in a model without a network.
 
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -12,7 +13,9 @@
 use crate::support::STEP;
 use base::time::Time;
 use share::usage::Book;
+use share::usage::Fleet;
 use share::usage::MAX_USAGES;
+use share::usage::Peer;
 use share::usage::Rate;
 use share::usage::Usage;
 
@@ -34,6 +37,9 @@
     Restart,
     Fall,
     Rise,
+    /// A third of the nodes is cut off, or frozen, for longer than the others remember it.
+    LongCut,
+    LongFreeze,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +63,7 @@
 }
 
 const RUN: Duration = Duration::from_secs(12);
+const LONG_FAULT: Duration = Duration::from_secs(35);
 const START: Time = Time::from_millis(2000);
 const FAULT_AT: Time = Time::from_millis(6000);
 
@@ -74,7 +81,9 @@
     let mut home = 0;
     // Overload also meets nodes that have just started.
     let start = if case.factor > 1.0 { Time::ZERO } else { START };
-    while net.now < Time::ZERO + RUN {
+    let is_long = matches!(case.fault, Fault::LongCut | Fault::LongFreeze);
+    let end = Time::ZERO + RUN + if is_long { LONG_FAULT } else { Duration::ZERO };
+    while net.now < end {
         let second = net.now.0 / 1_000_000;
         net.begin_step();
         if net.now == FAULT_AT {
@@ -140,6 +149,10 @@
         Fault::Restart => (0..case.nodes).for_each(|node| net.crash(node, span / 5)),
         Fault::Fall => net.set_rate(rate(case.per_second / 3.0)),
         Fault::Rise => net.set_rate(rate(case.per_second * 3.0)),
+        Fault::LongCut => net.cut = (case.serving / 3, net.now + LONG_FAULT),
+        Fault::LongFreeze => {
+            (0..case.serving / 3).for_each(|node| net.freeze(node, LONG_FAULT));
+        }
     }
 }
 
@@ -230,6 +243,128 @@
     assert!(outcome.excess <= 0.0, "{outcome:?}");
 }
 
+/// Guards against both sides of a partition using the whole rate until they miss heartbeats.
+#[test]
+fn partition_under_overload() {
+    for seed in 0..60 {
+        let (per_second, factor) =
+            [(42.0, 4.0), (42.0, 8.0), (100.0, 8.0), (400.0, 4.0)][seed as usize % 4];
+        let (nodes, load, fault) = (6, Load::Even, Fault::Cut);
+        let case = Case { seed, nodes, serving: nodes, per_second, load, factor, fault };
+        let outcome = run(case);
+        assert!(outcome.excess <= 0.0, "{case:?}: {outcome:?}");
+    }
+}
+
+/// Guards against nodes that are cut off, or were frozen, for so long that they and the others forget
+/// each other, and then both divide the whole rate among them.
+#[test]
+fn long_partition() {
+    let mut exceeded = Vec::new();
+    for seed in 0..30 {
+        let fault = [Fault::LongCut, Fault::LongFreeze][seed as usize % 2];
+        let per_second = [5.0, 12.0, 42.0][seed as usize % 3];
+        let (nodes, load, factor) = ([6, 18][seed as usize / 15], Load::Even, 8.0);
+        let case = Case { seed, nodes, serving: nodes, per_second, load, factor, fault };
+        let outcome = run(case);
+        if outcome.excess > 0.0 {
+            exceeded.push(format!("{case:?}: {outcome:?}"));
+        }
+    }
+    assert!(exceeded.is_empty(), "{exceeded:#?}");
+}
+
+/// Guards against a node that gives its share up though no majority can have taken it: the other
+/// one of two nodes has ended.
+#[test]
+fn one_of_two_nodes() {
+    let mut net = Net::new(1, 2, 2, rate(12.0));
+    let mut admitted = 0;
+    while net.now < Time::from_millis(60_000) {
+        net.begin_step();
+        if net.now == FAULT_AT {
+            net.freeze(1, Duration::from_secs(100));
+        }
+        let is_late = net.now >= Time::from_millis(40_000);
+        admitted += usize::from(net.take(0) == Some(Ok(())) && is_late);
+        net.end_step();
+    }
+    assert!((100..160).contains(&admitted), "{admitted} of 120");
+}
+
+/// Guards against the use of nodes being unknown after many others have been replaced.
+#[test]
+fn replaced_nodes() {
+    let mut net = Net::new(1, 1, 1, rate(5.0));
+    let usage = |used| [Usage { key: support::KEY, used, demand: 1.0, level: 5.0 }];
+    for node in 1..600 {
+        net.begin_step();
+        let book = &mut net.nodes[0].book;
+        book.on_report(net.now, support::address(node), 1, &usage(1));
+        (0..40).for_each(|_| net.end_step());
+        net.now = net.now + Duration::from_millis(400);
+    }
+    let now = net.now + Duration::from_secs(1);
+    let book = &mut net.nodes[0].book;
+    let mut level = |used| {
+        book.on_report(now, support::address(600), 1, &usage(used));
+        assert_eq!(book.take(now, support::KEY), Ok(()));
+        book.give_back(now, support::KEY);
+        book.report(now)[0].level
+    };
+    let before = level(1);
+    assert_eq!(level(4), before - 3.0);
+}
+
+/// Guards against the share of a node of an earlier build, which reports no use, being given to the
+/// others.
+#[test]
+fn nodes_that_do_not_report() {
+    struct Mixed {
+        reports: bool,
+    }
+    impl Fleet for Mixed {
+        fn own(&self) -> IpAddr {
+            support::address(0)
+        }
+
+        fn is_serving(&self) -> bool {
+            true
+        }
+
+        fn standby_nodes(&self) -> u32 {
+            0
+        }
+
+        fn others(&self) -> Vec<Peer> {
+            let peer = |node| Peer {
+                ip: support::address(node),
+                is_present: true,
+                reports: self.reports || node < 2,
+            };
+            (1..4).map(peer).collect()
+        }
+    }
+    let admitted = |reports| {
+        let mut book = Book::new(BOUND);
+        book.set_rate(Time::ZERO, support::KEY, rate(42.0));
+        let admits = |step: u64| {
+            let now = Time::from_millis(step * 5);
+            if step.is_multiple_of(80) {
+                book.divide(now, &Mixed { reports });
+            }
+            if book.is_report_due(now) {
+                book.report(now);
+            }
+            book.take(now, support::KEY).is_ok() && step >= 2000
+        };
+        (0..4000).map(admits).filter(|is_admitted| *is_admitted).count()
+    };
+    // Two of four nodes report, so half of the rate is left.
+    let (mixed, all) = (admitted(false), admitted(true));
+    assert!(mixed as f64 <= 0.6 * all as f64, "{mixed} of {all}");
+}
+
 /// Guards against an overload being refused more than the rate asks for.
 #[test]
 fn overload_uses_rate() {
--- a/crates/process/share/tests/support/mod.rs
+++ b/crates/process/share/tests/support/mod.rs
@@ -65,8 +65,11 @@
     fn others(&self) -> Vec<Peer> {
         let peer = |node: usize| {
             let silence = self.now.since(self.heard[node]?);
-            (node != self.own && silence < FORGOTTEN_AFTER)
-                .then(|| Peer { ip: address(node), is_present: silence <= SILENT_AFTER })
+            (node != self.own && silence < FORGOTTEN_AFTER).then(|| Peer {
+                ip: address(node),
+                is_present: silence <= SILENT_AFTER,
+                reports: true,
+            })
         };
         (0..self.serving).filter_map(peer).collect()
     }
