poison, gather, entry: few hedges before an answer only after ends of servers

Cause: the limit of two hedges before the first answer held for every search of every deployment. And a burst counted as the only one unless another search had lost servers of three shards at the same moment. Change: the limit holds while a request that was not answered since has ended a server in the last 60 s, at this node or another one.

--- a/crates/process/entry/src/breaks.rs
+++ b/crates/process/entry/src/breaks.rs
@@ -51,6 +51,11 @@
     }
 }
 
+/// Whether any request has ended a server a short time ago, here or at another node.
+pub(crate) fn has_recent_end(process: &Process) -> bool {
+    process.ledger.borrow().has_recent_end(process.clock.now())
+}
+
 /// Begins the trial of a request that is blocked, if one is due.
 pub(crate) fn begin(process: &Process, request: &CallerRequest) {
     if standing(process, request) != Standing::TrialDue {
--- a/crates/process/entry/src/drive.rs
+++ b/crates/process/entry/src/drive.rs
@@ -60,8 +60,14 @@
                 homes: caller_request.homes,
             };
             let standing = breaks::standing(process, &caller_request);
-            let mut balancer =
-                NodeBalancer { table: &mut table, budget: &mut budget, choice, standing };
+            let has_recent_end = breaks::has_recent_end(process);
+            let mut balancer = NodeBalancer {
+                table: &mut table,
+                budget: &mut budget,
+                choice,
+                standing,
+                has_recent_end,
+            };
             machine.handle(process.clock.now(), event, &mut balancer, &mut actions);
         }
         for action in actions.drain(..) {
--- a/crates/request/gather/src/event.rs
+++ b/crates/request/gather/src/event.rs
@@ -202,6 +202,11 @@
         Standing::Clear
     }
 
+    /// Whether any request has ended a server a short time ago, so that others may end more.
+    fn has_recent_end(&mut self, _now: Time) -> bool {
+        false
+    }
+
     /// Counts the first send to `service`.
     fn first_send(&mut self, now: Time, service: Service);
 
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -4,8 +4,8 @@
 //! certainly has not run. The answer of a service is used once. The response is
 //! returned once, as soon as no attempt in flight can improve it, and at the
 //! plan's deadline at the latest. A request that is suspected of ending servers is at one server
-//! at a time, and one that is blocked is sent to none. Until a server has answered, few hedges are
-//! in flight.
+//! at a time, and one that is blocked is sent to none. While servers have ended a short time ago, few
+//! hedges are in flight until a server has answered.
 
 use std::time::Duration;
 
@@ -38,8 +38,8 @@
 /// How long a service waits for a budget that is used up or servers that are busy.
 const DEFER_DELAY: Duration = Duration::from_millis(15);
 
-/// The maximum number of services that are hedged before any server has answered: if the request
-/// ends the servers that run it, each hedge ends one more, and hedges are due before the first
+/// The maximum number of services that are hedged before any server has answered, while requests
+/// have ended servers a short time ago: if this one ends the servers that run it, each hedge ends one more, and hedges are due before the first
 /// server has ended. An answer to one of them releases the others.
 const MAX_BLIND_HEDGES: usize = 2;
 
@@ -203,7 +203,7 @@
         if progress.possible_runs >= self.plan.max_attempts || progress.sends >= MAX_SENDS {
             return self.give_up(index);
         }
-        if purpose == Purpose::Hedge && !self.may_hedge() {
+        if purpose == Purpose::Hedge && balancer.has_recent_end(now) && !self.may_hedge() {
             return self.hold(now, index);
         }
         let is_in_flight = self.progress.iter().any(|progress| progress.in_flight > 0);
--- a/crates/request/gather/src/resources.rs
+++ b/crates/request/gather/src/resources.rs
@@ -22,6 +22,8 @@
     pub choice: Choice,
     /// Whether the request may have ended the servers that ran it.
     pub standing: Standing,
+    /// Whether any request has ended a server a short time ago.
+    pub has_recent_end: bool,
 }
 
 impl Balancer for NodeBalancer<'_> {
@@ -41,6 +43,10 @@
         self.standing
     }
 
+    fn has_recent_end(&mut self, _now: Time) -> bool {
+        self.has_recent_end
+    }
+
     fn accepts_at(&mut self, now: Time, service: Service) -> Option<Time> {
         self.table.accepts_at(now, service, self.choice.homes)
     }
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -368,6 +368,7 @@
             budget: &mut node.budget,
             choice: Choice::default(),
             standing: Standing::Clear,
+            has_recent_end: false,
         };
         entry.machine.handle(now, event, &mut balancer, &mut actions);
         for action in actions {
--- a/crates/request/gather/tests/turned_away.rs
+++ b/crates/request/gather/tests/turned_away.rs
@@ -90,6 +90,7 @@
                 budget: &mut self.budget,
                 choice: Choice { homes: self.homes, ..Choice::default() },
                 standing: Standing::Clear,
+                has_recent_end: false,
             };
             machine.handle(now, event, &mut balancer, &mut actions);
             for action in actions {
--- a/crates/request/poison/src/ledger.rs
+++ b/crates/request/poison/src/ledger.rs
@@ -8,7 +8,7 @@
 //!
 //! The ends of one run of a search at servers of different shards count together. If they lie
 //! close together they may have had another cause: then the block is short and explains nothing,
-//! and if other searches lost their servers at the same moment, it is sent to one at a time.
+//! and if other requests lost a server at the same moment, it is sent to one at a time.
 //!
 //! Invariants: a request that has been answered since the last end is not blocked. The memory of
 //! a ledger and of its notices is bounded, whatever requests callers make up.
@@ -106,6 +106,12 @@
         if now >= until { Standing::TrialDue } else { Standing::Blocked { until } }
     }
 
+    /// Whether a request that was not answered since has ended a server a short time ago, here or
+    /// at another node.
+    pub fn has_recent_end(&self, now: Time) -> bool {
+        self.records.values().any(|record| record.has_recent_end(now))
+    }
+
     /// The number of servers that have ended under a request, one after the other.
     pub fn ends(&self, identity: Identity) -> usize {
         self.records.get(&identity).map_or(0, |record| record.ends.len())
--- a/crates/request/poison/src/record.rs
+++ b/crates/request/poison/src/record.rs
@@ -29,6 +29,8 @@
 const BURST_BLOCK_TIME: Duration = Duration::from_secs(3);
 /// The span of the trials of different nodes after a burst.
 const BURST_TRIAL_SPREAD: Duration = Duration::from_secs(2);
+/// How long other searches may be expected to end servers too, after the end of one.
+const RECENT_TIME: Duration = Duration::from_secs(60);
 /// How long a request stays suspected after the last end.
 const SUSPECT_LIFETIME: Duration = Duration::from_secs(60);
 /// How long a blocked request is remembered after its trial was due.
@@ -75,6 +77,11 @@
         self.ends.iter().any(|end| end.server == server)
     }
 
+    /// Whether a server that has ended under it ended a short time ago.
+    pub(crate) fn has_recent_end(&self, now: Time) -> bool {
+        self.proven().any(|end| now.since(end.at) < RECENT_TIME)
+    }
+
     /// Whether it has ended enough servers to be blocked, or will be once that is certain.
     pub(crate) fn is_condemned(&self) -> bool {
         self.proven().count() >= BLOCKING_ENDS
@@ -104,11 +111,14 @@
         self.is_condemned() && self.last_end().since(first) < BURST_SPAN
     }
 
-    /// Whether both are blocked for ends at the same moment.
+    /// Whether a server ended under `other` at the moment of one of these ends. Of each request only
+    /// the first ends are kept, so the servers of two that ran at the same ones may differ here.
     pub(crate) fn ended_with(&self, other: &Self) -> bool {
-        let (first, last) =
-            (self.last_end().min(other.last_end()), self.last_end().max(other.last_end()));
-        self.is_burst() && other.is_burst() && last.since(first) < BURST_SPAN
+        let is_near = |end: &&End| {
+            let gap = |own: &End| own.at.since(end.at).max(end.at.since(own.at));
+            self.proven().any(|own| gap(own) < BURST_SPAN)
+        };
+        other.proven().any(|end| is_near(&end))
     }
 
     pub(crate) fn run_begins(&mut self, now: Time) {
--- a/crates/request/poison/tests/verdicts.rs
+++ b/crates/request/poison/tests/verdicts.rs
@@ -121,6 +121,23 @@
     assert_eq!(ledger.standing(at(300), request(1)), Standing::Suspect);
 }
 
+/// Guards against a search that is refused since a whole service ended, where the others that ran
+/// there lost fewer servers: their other shard requests were answered.
+#[test]
+fn search_that_loses_servers_beside_others_is_not_blocked() {
+    let mut ledger = Ledger::new(0.0);
+    for number in 1..4 {
+        ledger.leg_broke_off(at(10), request(number), 0, 0, 0);
+        ledger.server_ended(at(22), request(number), 0);
+    }
+    end_all(&mut ledger, 10, request(0), 0);
+    assert_eq!(ledger.standing(at(300), request(0)), Standing::Suspect);
+    // It does end servers: the next end that follows blocks it.
+    ledger.leg_broke_off(at(400), request(0), 20, 0, 3);
+    ledger.server_ended(at(412), request(0), 20);
+    assert!(matches!(ledger.standing(at(700), request(0)), Standing::Blocked { .. }));
+}
+
 /// Guards against a request that is blocked since several of its runs overlap when servers of one
 /// group end at the same moment for another reason.
 #[test]
