--- a/crates/process/entry/src/admin.rs
+++ b/crates/process/entry/src/admin.rs
@@ -2,11 +2,13 @@
 //! since they end servers.
 //!
 //!     GET /metrics
-//!     GET /status                     the customers with the most requests and refusals, as JSON
+//!     GET /status                     evacuated data centres, cold servers, and the customers with
+//!                                     the most requests and refusals, as JSON
 //!     GET /blocked                    the blocked requests, as JSON
 //!     DELETE /blocked/REQUEST         ends a block, at all nodes
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,7 +25,10 @@
 use crate::process::Process;
 use crate::serve;
 use crate::serve::Answer;
+use base::entity::Server;
 use poison::identity::Identity;
+use share::limit::Limit;
+use site::evacuation::Evacuation;
 
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/status";
@@ -46,8 +51,45 @@
     }
 }
 
+/// The maximum number of cold servers in the state for operators.
+const MAX_COLD_SERVERS: usize = 64;
+
 fn status(process: &Process) -> Answer {
-    json_answer(&json!({ "customers": process.customer_stats.borrow().top() }))
+    json_answer(&json!({
+        "customers": process.customer_stats.borrow().top(),
+        "evacuated": evacuated(process),
+        "cold": cold(process),
+    }))
+}
+
+/// The evacuated data centres, and since which revision of the registry.
+fn evacuated(process: &Process) -> Vec<Value> {
+    let now = process.clock.now();
+    let evacuations = process.evacuations.borrow();
+    let entry = |(data_centre, evacuation): (&Arc<str>, &Evacuation)| {
+        json!({
+            "data_centre": &**data_centre,
+            "revision": format!("{}.{}", evacuation.origin.era, evacuation.origin.revision),
+            "since_ms": now.since(evacuation.since).as_millis() as u64,
+        })
+    };
+    evacuations.iter().map(entry).collect()
+}
+
+/// The cold servers, and this node's part of what they bear.
+fn cold(process: &Process) -> Vec<Value> {
+    let now = process.clock.now();
+    let table = process.table.borrow();
+    let entry = |(server, limit): (Server, &Limit)| {
+        let record = table.record(server);
+        json!({
+            "server": &*record.incarnation.id,
+            "per_second": limit.per_second,
+            "own_per_second": limit.rate(now),
+            "left_ms": record.warmup_until.since(now).as_millis() as u64,
+        })
+    };
+    table.cold(now).take(MAX_COLD_SERVERS).map(entry).collect()
 }
 
 fn json_answer(content: &Value) -> Answer {
