poison, entry: the outage of a service blocks no search that ran there

Cause: a search that alone lost servers of three shards before its first answer was blocked for 3 to 5 s when a whole service ended, since searches that had been answered before they broke off left no trace. Change: the node that ran a search knows all servers that broke off its runs. If three or more servers at which it did not run ended at the same moment under other requests without a burst, its ends are refuted at all nodes. Searches that had been answered before count too.

--- a/crates/process/entry/src/breaks.rs
+++ b/crates/process/entry/src/breaks.rs
@@ -118,10 +118,15 @@
 ) {
     request.broke_off.set(true);
     let identity = request.identity();
-    if !request.answered.get() {
+    {
         let (now, table) = (process.clock.now(), process.table.borrow());
         let (key, shard) = (table.key(server), table.record(server).service.as_u32());
-        process.ledger.borrow_mut().leg_broke_off(now, identity, key, shard, known_ends);
+        let mut ledger = process.ledger.borrow_mut();
+        if request.answered.get() {
+            ledger.answered_broke_off(now, identity, key);
+        } else {
+            ledger.leg_broke_off(now, identity, key, shard, known_ends);
+        }
     }
     let mut breaks = process.breaks.borrow_mut();
     if let Some(requests) = breaks.get_mut(&server) {
--- a/crates/process/entry/src/notices.rs
+++ b/crates/process/entry/src/notices.rs
@@ -123,5 +123,8 @@
         let change = process.ledger.borrow_mut().on_notice(process.clock.now(), notice);
         breaks::report(process, notice.identity, change);
     }
+    if process.ledger.borrow_mut().take_cleared() {
+        process.ledger_changed.notify_one();
+    }
     true
 }
--- a/crates/request/gather/tests/search_fleet.rs
+++ b/crates/request/gather/tests/search_fleet.rs
@@ -295,6 +295,9 @@
                 for notice in &self.messages[message] {
                     self.ledgers[node].on_notice(Time(self.now), notice);
                 }
+                if self.ledgers[node].take_cleared() {
+                    self.on_change(node, Change::Cleared { was_blocked: true });
+                }
             }
             Step::Repeat { node } => self.send(node),
         }
@@ -422,7 +425,9 @@
             if run.counts {
                 ledger.run_ends(search.identity);
             }
-            if !search.answered {
+            if search.answered {
+                ledger.answered_broke_off(Time(self.now), search.identity, key);
+            } else {
                 let shard = (server / REPLICAS) as u32;
                 ledger.leg_broke_off(Time(self.now), search.identity, key, shard, run.known);
             }
@@ -517,3 +522,25 @@
         assert_eq!(summary.blocked, 0, "seed {seed}, {fraction} of the servers");
     }
 }
+
+/// Guards against an outage of a whole service that blocks the searches that ran there.
+#[test]
+fn outage_blocks_no_search() {
+    let mut blocked = Vec::new();
+    let mut all = 0;
+    for seed in 0..40 {
+        let summary = Model::run(Scenario {
+            seed,
+            poisons: 0,
+            seconds: 10,
+            ordinary_interval: 5 * MILLI,
+            outage: Some((2 * SECOND, 1.0)),
+            ..SCENARIO
+        });
+        all += summary.served + summary.failed + summary.refused;
+        if summary.blocked > 0 {
+            blocked.push((seed, summary.blocked));
+        }
+    }
+    assert!(blocked.is_empty(), "of {all}: {blocked:?}");
+}
--- a/crates/request/poison/src/ledger.rs
+++ b/crates/request/poison/src/ledger.rs
@@ -59,7 +59,7 @@
     },
     /// It is blocked from now on.
     Blocked,
-    /// It is no longer suspected.
+    /// It is no longer suspected, or was answered before the server ended.
     Cleared {
         /// Whether it was blocked.
         was_blocked: bool,
@@ -72,13 +72,15 @@
     /// This node's part of the time over which the trials of all nodes are spread, from 0 to 1.
     spread: f64,
     records: HashMap<Identity, Record>,
+    /// Whether a search was cleared since its servers ended in an outage, and others must be told.
+    has_cleared: bool,
 }
 
 impl Ledger {
     /// An empty ledger of a node that tries blocked requests at `spread`, from 0 to 1, of the time
     /// over which the trials of all nodes are spread.
     pub fn new(spread: f64) -> Self {
-        Self { spread, records: HashMap::new() }
+        Self { spread, records: HashMap::new(), has_cleared: false }
     }
 
     /// Whether no request is suspected or blocked, so that identities needn't be known.
@@ -162,6 +164,35 @@
         self.add_end(now, identity, server, Some(shard), known);
     }
 
+    /// Records that a run of a request that a server had answered before broke off at `server`,
+    /// which may have ended for another reason.
+    pub fn answered_broke_off(&mut self, now: Time, identity: Identity, server: u32) {
+        self.make_room(now, identity);
+        self.records.entry(identity).or_default().add_beside(server);
+    }
+
+    /// Whether searches were cleared, since the last call, whose servers ended in an outage.
+    pub fn take_cleared(&mut self) -> bool {
+        std::mem::take(&mut self.has_cleared)
+    }
+
+    /// Clears searches whose servers ended together with others at which they did not run.
+    fn clear_outage(&mut self, now: Time) {
+        let records = &self.records;
+        let is_outage = |(id, record): &(&Identity, &Record)| {
+            let others = records.iter().filter(|(other, _)| other != id);
+            // Few records settle at a time, so that an end doesn't compare all with all.
+            record.is_settling(now) && record.is_outage(others.map(|(_, other)| other))
+        };
+        let cleared: Vec<Identity> = records.iter().filter(is_outage).map(|(id, _)| *id).collect();
+        self.has_cleared |= !cleared.is_empty();
+        for identity in cleared {
+            if let Some(record) = self.records.get_mut(&identity) {
+                record.refute(now);
+            }
+        }
+    }
+
     fn add_end(
         &mut self,
         now: Time,
@@ -178,17 +209,26 @@
     /// Records that the server has ended.
     pub fn server_ended(&mut self, now: Time, identity: Identity, server: u32) -> Change {
         let Some(record) = self.records.get_mut(&identity) else { return Change::Nothing };
+        if record.remove_beside(server) {
+            let was_blocked = record.is_condemned();
+            record.ended_beside(now, server);
+            self.clear_outage(now);
+            return Change::Cleared { was_blocked };
+        }
         let end = record.ends.iter_mut().find(|end| end.server == server && !end.proven);
         let Some(end) = end else { return Change::Nothing };
         end.proven = true;
         record.changed_at = now;
-        self.suspected(identity)
+        let change = self.suspected(identity);
+        self.clear_outage(now);
+        change
     }
 
     /// Records that the server runs on.
     pub fn server_runs(&mut self, identity: Identity, server: u32) {
         if let Some(record) = self.records.get_mut(&identity) {
             record.remove(|end| end.server == server && !end.proven);
+            record.remove_beside(server);
             self.remove_void();
         }
     }
@@ -221,6 +261,7 @@
         let changed = record.merge(now, notice);
         let (after, is_condemned) = (record.ends.len(), record.is_condemned());
         self.remove_void();
+        self.clear_outage(now);
         if !changed {
             Change::Nothing
         } else if after == 0 && before > 0 {
--- a/crates/request/poison/src/record.rs
+++ b/crates/request/poison/src/record.rs
@@ -39,6 +39,8 @@
 const REFUTED_LIFETIME: Duration = Duration::from_secs(20);
 /// The maximum number of ends that are kept.
 const MAX_ENDS: usize = 5;
+/// The maximum number of servers that are kept at which runs broke off: two of each shard.
+const MAX_BROKEN: usize = 256;
 /// The maximum number of refuted ends that are kept.
 const MAX_REFUTED: usize = 6;
 
@@ -60,6 +62,10 @@
     /// were known, or those of different shards that ended under one search.
     pub(crate) ends: Vec<End>,
     pub(crate) refuted: Vec<u32>,
+    /// Servers that broke off runs of it at this node, whether or not they count as ends.
+    broken: Vec<u32>,
+    /// Servers that broke off a run of it that had been answered, and may have ended.
+    beside: Vec<u32>,
     trial_at: Option<Time>,
     pub(crate) changed_at: Time,
     /// The number of this node's runs that began while it was suspected.
@@ -121,6 +127,49 @@
         other.proven().any(|end| is_near(&end))
     }
 
+    /// Whether so many servers at which it did not run ended at the moment of its own ends that
+    /// these must have had another cause. Only the node that ran it can tell.
+    pub(crate) fn is_outage<'a>(&self, others: impl Iterator<Item = &'a Self>) -> bool {
+        if self.broken.is_empty() || !self.is_burst() {
+            return false;
+        }
+        let is_near =
+            |at: Time| self.proven().any(|own| own.at.since(at).max(at.since(own.at)) < BURST_SPAN);
+        let mut foreign: Vec<u32> = Vec::new();
+        // Of two bursts, both may have been caused by searches that end servers.
+        for other in others.filter(|other| !other.is_burst()) {
+            let ends = other.proven().filter(|end| is_near(end.at)).map(|end| end.server);
+            let refuted = other.refuted.iter().copied().filter(|_| is_near(other.changed_at));
+            foreign.extend(ends.chain(refuted).filter(|server| !self.broken.contains(server)));
+        }
+        foreign.sort_unstable();
+        foreign.dedup();
+        foreign.len() >= BLOCKING_ENDS
+    }
+
+    /// Records that a run that had been answered broke off at a server.
+    pub(crate) fn add_beside(&mut self, server: u32) {
+        if self.beside.len() < MAX_REFUTED && !self.beside.contains(&server) {
+            self.beside.push(server);
+        }
+    }
+
+    /// Forgets that a run that had been answered broke off at a server; returns whether one did.
+    pub(crate) fn remove_beside(&mut self, server: u32) -> bool {
+        let before = self.beside.len();
+        self.beside.retain(|other| *other != server);
+        self.beside.len() < before
+    }
+
+    /// Records that a server has ended beside it: after it was answered, so for another reason.
+    pub(crate) fn ended_beside(&mut self, now: Time, server: u32) {
+        self.refute(now);
+        // Leaves room for refuted ends, which late notices would bring back.
+        if self.refuted.len() < BLOCKING_ENDS {
+            self.add_refuted(server);
+        }
+    }
+
     pub(crate) fn run_begins(&mut self, now: Time) {
         self.running += 1;
         self.run_began_at = now;
@@ -159,6 +208,9 @@
     /// overlap count once, since they may all have been ended by another request or cause, except
     /// those of one search at different shards, up to the block: later ends must follow them.
     pub(crate) fn add(&mut self, now: Time, server: u32, shard: Option<u32>, known: usize) -> bool {
+        if self.broken.len() < MAX_BROKEN {
+            self.broken.push(server);
+        }
         let is_new = !self.refuted.contains(&server) && !self.has_ended(server);
         let is_other = |end: &End| end.shard.is_some() && shard.is_some() && end.shard != shard;
         let is_beside = self.ends.len() < BLOCKING_ENDS && self.ends.iter().all(is_other);
@@ -178,13 +230,14 @@
 
     /// Whether nothing is known that other nodes would need.
     pub(crate) fn is_void(&self) -> bool {
-        self.ends.is_empty() && self.refuted.is_empty()
+        self.ends.is_empty() && self.refuted.is_empty() && self.beside.is_empty()
     }
 
     /// Clears it of all ends so far.
     pub(crate) fn refute(&mut self, now: Time) {
         let servers: Vec<u32> = self.proven().map(|end| end.server).collect();
         self.ends.clear();
+        self.broken.clear();
         servers.into_iter().for_each(|server| self.add_refuted(server));
         self.trial_at = None;
         self.changed_at = now;
--- a/crates/request/poison/tests/verdicts.rs
+++ b/crates/request/poison/tests/verdicts.rs
@@ -138,6 +138,28 @@
     assert!(matches!(ledger.standing(at(700), request(0)), Standing::Blocked { .. }));
 }
 
+/// Guards against a search that is refused since a whole service ended, where all others that ran
+/// there had been answered by some servers; and against a search that ends servers being cleared
+/// since others ran at the same ones.
+#[test]
+fn outage_beside_answered_searches_clears_a_search() {
+    for (first, is_outage) in [(20, true), (0, false)] {
+        let mut ledger = Ledger::new(0.0);
+        for shard in 0..10 {
+            ledger.leg_broke_off(at(10), request(0), shard, shard, 0);
+            ledger.answered_broke_off(at(10), request(1), first + shard);
+        }
+        for shard in 0..10 {
+            ledger.server_ended(at(22), request(0), shard);
+            ledger.server_ended(at(22), request(1), first + shard);
+        }
+        let is_blocked = matches!(ledger.standing(at(300), request(0)), Standing::Blocked { .. });
+        assert_eq!(is_blocked, !is_outage, "from {first} on");
+        assert_eq!(ledger.take_cleared(), is_outage);
+        assert_eq!(ledger.standing(at(300), request(1)), Standing::Clear);
+    }
+}
+
 /// Guards against a request that is blocked since several of its runs overlap when servers of one
 /// group end at the same moment for another reason.
 #[test]
