--- a/crates/process/entry/src/forward.rs
+++ b/crates/process/entry/src/forward.rs
@@ -1,8 +1,8 @@
 //! Passes callers' requests on to other nodes while this node has lost its path to the servers.
 //!
 //! Invariants: a request is passed on only if no attempt of this node has left, and to one node
-//! that gets it; the node is in the regions in which the request may be served. It answers it by a configuration that is not older than this node's,
-//! and does not pass it on again.
+//! that gets it, in a region in which the request may be served. That node answers it by a
+//! configuration that is not older than this node's, and does not pass it on again.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/request/gather/src/machine.rs
+++ b/crates/request/gather/src/machine.rs
@@ -39,8 +39,8 @@
 const DEFER_DELAY: Duration = Duration::from_millis(15);
 
 /// The maximum number of services that are hedged before any server has answered, while requests
-/// have ended servers a short time ago: if this one ends the servers that run it, each hedge ends one more, and hedges are due before the first
-/// server has ended. An answer to one of them releases the others.
+/// have ended servers a short time ago: if this one ends the servers that run it, each hedge ends
+/// one more, and hedges are due before the first server has ended. An answer releases the others.
 const MAX_BLIND_HEDGES: usize = 2;
 
 /// The maximum number of attempts of one request at one service, including refused
