--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -190,6 +190,8 @@
     kinds: HashMap<String, BTreeMap<String, Object>>,
     /// The changes since the start: revision, kind, event.
     history: Vec<(u64, String, String)>,
+    /// The number of lists that were answered, by kind.
+    lists: HashMap<String, u64>,
 }
 
 /// The platform's metadata store. It keeps what was written letter for letter, is linearizable, and
@@ -200,6 +202,30 @@
     changed: Condvar,
 }
 
+/// A page of a list ends once it holds so much: "about 500 or 1 MB at most".
+const PAGE_BYTES: usize = 1_000_000;
+
+/// The text of a parameter of a query.
+fn percent_decoded(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        let code = std::str::from_utf8(tail.get(..2).unwrap_or_default());
+        let code = code.ok().and_then(|code| u8::from_str_radix(code, 16).ok());
+        match (first, code) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn object_text(name: &str, object: &Object) -> String {
     format!(
         "{{\"meta\":{{\"name\":\"{name}\",\"revision\":{},\"created\":{},\"finalizers\":[],\"deleting\":false}},\"spec\":{},\"status\":null}}",
@@ -209,7 +235,12 @@
 
 impl Store {
     pub fn start(address: SocketAddr) -> Arc<Self> {
-        let state = StoreState { revision: 100, kinds: HashMap::new(), history: Vec::new() };
+        let state = StoreState {
+            revision: 100,
+            kinds: HashMap::new(),
+            history: Vec::new(),
+            lists: HashMap::new(),
+        };
         let listener = listen(address);
         let address = listener.local_addr().unwrap();
         let store =
@@ -255,7 +286,10 @@
                         let wait = parameter("wait_ms").and_then(|(_, ms)| ms.parse().ok());
                         self.watch(kind, since, Duration::from_millis(wait.unwrap_or(0)))
                     }
-                    None => self.list(kind, parameter("after").map_or("", |(_, name)| name)),
+                    None => {
+                        let after = parameter("after").map_or("", |(_, name)| name);
+                        self.list(kind, &percent_decoded(after))
+                    }
                 };
                 answer("200 OK", &json, text.as_bytes())
             }
@@ -288,17 +322,29 @@
         state.kinds.get(kind)?.get(name).map(|object| object_text(name, object))
     }
 
-    /// All objects after `after`, in the order of their names, at most 500.
+    /// The objects after `after`, in the order of their names, at most 500 or about 1 MB.
     fn list(&self, kind: &str, after: &str) -> String {
-        let state = self.state.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
+        *state.lists.entry(kind.to_owned()).or_default() += 1;
         let empty = BTreeMap::new();
         let objects = state.kinds.get(kind).unwrap_or(&empty);
-        let mut items = objects.iter().filter(|(name, _)| name.as_str() > after);
-        let page: Vec<String> = items.by_ref().take(500).map(|(n, o)| object_text(n, o)).collect();
-        let more = items.next().is_some();
+        let mut items = objects.iter().filter(|(name, _)| name.as_str() > after).peekable();
+        let mut page: Vec<String> = Vec::new();
+        let mut bytes = 0;
+        while page.len() < 500 && bytes < PAGE_BYTES {
+            let Some((name, object)) = items.next() else { break };
+            page.push(object_text(name, object));
+            bytes += page[page.len() - 1].len();
+        }
+        let more = items.peek().is_some();
         format!("{{\"items\":[{}],\"more\":{more},\"as_of\":{}}}", page.join(","), state.revision)
     }
 
+    /// The number of pages of lists of a kind that were answered.
+    pub fn lists(&self, kind: &str) -> u64 {
+        self.state.lock().unwrap().lists.get(kind).copied().unwrap_or(0)
+    }
+
     fn watch(&self, kind: &str, since: u64, wait: Duration) -> String {
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
@@ -588,6 +634,30 @@
         }
     }
 
+    /// Adds lines to the settings file.
+    pub fn extend_settings(&self, lines: &str) {
+        let mut text = std::fs::read_to_string(&self.settings).unwrap_or_default();
+        text.push_str(lines);
+        if let Err(error) = std::fs::write(&self.settings, text) {
+            cannot_run(&format!("{}: {error}", self.settings.display()));
+        }
+        self.record.line(&format!("the settings file of node {} has changed", self.name));
+    }
+
+    /// Waits until the process has ended; returns its exit code.
+    pub fn wait_for_exit(&self, limit: Duration) -> Option<i32> {
+        let until = Instant::now() + limit;
+        let mut child = self.child.lock().unwrap();
+        let child = child.as_mut()?;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let child = self.child.lock().unwrap();
