--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -676,6 +676,16 @@
         }
     }
 
+    /// The memory of the process at present, in bytes; zero if it does not run.
+    pub fn memory(&self) -> u64 {
+        let child = self.child.lock().unwrap();
+        let id = child.as_ref().map_or(0, Child::id);
+        let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kib.unwrap_or(0) * 1024
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_exited(&self) -> bool {
         let mut child = self.child.lock().unwrap();
