--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -60,7 +60,15 @@
     let services = SHARDS
         .map(|name| format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":25,\"protocol\":\"h1\",\"tls\":false}}"))
         .join(",");
-    store.put("config", "main", &format!("{{\"version\":7,\"routes\":[{{\"name\":\"r-match\",\"host\":\"desk.example\",\"path_prefix\":\"/match/\",\"route_type\":\"idempotent\",\"timeout_ms\":800,\"objective_ms\":120,\"priority\":1,\"gather\":[{gather}],\"max_attempts\":2,\"top_k\":20,\"min_coverage\":0.75}}],\"services\":[{services}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"));
+    // Versions differ in a route that nobody uses.
+    let config = |version: u64| {
+        let route = |name: &str, prefix: &str| {
+            format!("{{\"name\":\"{name}\",\"host\":\"desk.example\",\"path_prefix\":\"{prefix}\",\"route_type\":\"idempotent\",\"timeout_ms\":800,\"objective_ms\":120,\"priority\":1,\"gather\":[{gather}],\"max_attempts\":2,\"top_k\":20,\"min_coverage\":0.75}}")
+        };
+        let routes = [route("r-match", "/match/"), route("r-idle", &format!("/idle{version}/"))];
+        format!("{{\"version\":{version},\"routes\":[{}],\"services\":[{services}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}", routes.join(","))
+    };
+    store.put("config", "main", &config(7));
     let mut near: Vec<Arc<Server>> = Vec::new();
     for shard in SHARDS {
         for (zone, _) in ZONES {
@@ -106,6 +114,10 @@
     let start = record.now();
     for round in 0..ROUNDS {
         record.sleep_until(start + round * ROUND_MS);
+        // Planned work too: a version of the config. It ends the poll that the third node makes.
+        store.put("config", "main", &config(12 + 5 * round));
+        record.line("the store has confirmed a version of the config");
+        thread::sleep(Duration::from_millis(30));
         let began = record.now();
         if trouble {
             nodes[0].signal("STOP");
@@ -115,7 +127,7 @@
         // they leave: their entries are removed, and they go on serving.
         let leaving = std::mem::take(&mut near);
         for (number, server) in (0..).zip(leaving) {
-            record.sleep_until(began + 50 + 150 * number);
+            record.sleep_until(began + 30 + 40 * number);
             store.remove("servers", &server.id);
             let at = record.now();
             record.line(&format!("the store has confirmed that the entry of {} is gone", server.id));
