fleet, watcher: a removed server is used no longer than its bound, whenever a node hears of it

What callers saw: searches reached a server up to 3.29 s after the registry had removed its entry (3 s allowed), while one of the two watchers of a data centre was frozen. Cause: the time for which a removed server is kept (1.9 s) counted from when a node heard of the removal. A follower whose watcher freezes hears of it after 0.42 + 0.8 + 0.05 s and looked for servers to remove each 0.2 s only; with the delay between watches the sum is 3.72 s. The bound, drain_ms, was not read from the settings. Change: a server is removed within drain_ms, less the time of the last sends, of the registry's last confirmation of its entry, unless an outage was seen since. The removal wakes its task when it is due. entry::delays adds up the waits of each chain on each role; a node logs which bounds of its settings they exceed. Why this works: the confirmation is dated before the removal on every role, so the delays of the watch and of the polls are in the time that is left, not added to it.

--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 
 pub mod clock;
+pub mod delays;
 pub mod departures;
 pub mod era;
 pub mod fairness;
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -192,6 +192,9 @@
         let mut confirmed_at = self.confirmed_at.borrow_mut();
         let known = confirmed_at.entry(kind).or_insert(at);
         *known = at.max(*known);
+        if kind == Kind::Servers {
+            self.fleet.borrow_mut().confirm(at);
+        }
     }
 
     /// Dates an answer of the registry by its era.
--- a/crates/process/entry/src/registry.rs
+++ b/crates/process/entry/src/registry.rs
@@ -15,6 +15,10 @@
 use site::config::Config;
 use site::register::Entry;
 
+/// The timeout of a call, in addition to the time that a watch waits: a slow registry takes up to
+/// a hundred times its usual 4 ms.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// The pending result of a call.
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = Result<T, Error>> + 'a>>;
 
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -44,18 +44,18 @@
 
 /// The timeout of a poll in addition to its wait; the transfer of a whole state to a small
 /// VM takes a tenth of it.
-const POLL_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const POLL_TIMEOUT: Duration = Duration::from_millis(800);
 /// The longest wait that a poll may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// The interval between choices of the source while this node watches the registry itself.
 const WATCHER_INTERVAL: Duration = Duration::from_millis(400);
 /// The delay after a failed poll.
-const FAILURE_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const FAILURE_DELAY: Duration = Duration::from_millis(50);
 /// The maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The maximum number of nodes that are asked for their state after one failed call to the
 /// registry.
-const MAX_PEERS_ASKED: usize = 6;
+pub(crate) const MAX_PEERS_ASKED: usize = 6;
 
 /// The connections to the nodes that this one follows.
 type Links = HashMap<IpAddr, Link>;
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -22,6 +22,7 @@
 
 use crate::admin;
 use crate::clock::Clock;
+use crate::delays;
 use crate::era;
 use crate::fairness;
 use crate::forward;
@@ -118,6 +119,9 @@
     let peers = listen(peer_address).await?;
     let process = Rc::new(new_process(settings, protocol, registry)?);
     log::info!(target: "node", name = process.settings.name.as_ref(), callers:% = process.settings.caller_address; "Started.");
+    for excess in delays::verify(&process.settings) {
+        log::warn!(target: "node", excess:% = excess; "A bound in the settings can't be kept.");
+    }
 
     let connections = TaskTracker::new();
     let (close, closing) = watch::channel(false);
--- a/crates/process/entry/src/settings.rs
+++ b/crates/process/entry/src/settings.rs
@@ -48,6 +48,8 @@
     pub retry_budget: budget::Settings,
     /// The time within which a version of the configuration must be in force.
     pub apply_bound: Duration,
+    /// The time within which a server that leaves must get no more requests.
+    pub departure_bound: Duration,
     /// How long the calls for the registry's state wait.
     pub timing: Timing,
     /// The time within which the evacuation of a data centre must be in force; `None` if the
--- a/crates/process/entry/src/source.rs
+++ b/crates/process/entry/src/source.rs
@@ -96,6 +96,12 @@
         let due = failed_at.map_or(due, |failed_at| due.max(failed_at + OWN_CALL_INTERVAL));
         due + self.max_jitter.mul_f64(jitter)
     }
+
+    /// The longest time from the registry's last answer to a watcher until a follower asks the
+    /// registry itself.
+    pub fn latest_own_call(&self) -> Duration {
+        self.max_age + self.max_jitter
+    }
 }
 
 /// Chooses a node's source.
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -11,6 +11,7 @@
 
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
@@ -44,13 +45,13 @@
 const WATCH_WAIT_AFTER_FAILURE: Duration = Duration::from_secs(1);
 /// The delay of the next watch after changes, so that it returns several further changes
 /// at once.
-const BATCH_DELAY: Duration = Duration::from_millis(350);
+pub(crate) const BATCH_DELAY: Duration = Duration::from_millis(350);
 /// The delay after the first failed call, before jitter, which reduces it to between a
 /// half and the whole; it is doubled with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// The maximum delay after a failed call, before jitter: changes must take effect within
 /// seconds of the end of an outage.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
+pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// The maximum delay of the list that follows a return of the registry from a copy, so that
 /// the watchers don't take it at the same time.
 const MAX_RETURN_DELAY: Duration = Duration::from_millis(250);
@@ -77,13 +78,13 @@
 }
 
 /// How long the first list of the nodes may delay the start.
-const FIRST_NODE_LIST_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const FIRST_NODE_LIST_TIMEOUT: Duration = Duration::from_millis(300);
 /// The number of nodes of a data centre that take the first list from the registry at once.
 const FIRST_LISTERS: usize = 4;
 /// How long the others wait for a node that passes the state on.
-const STATE_WAIT: Duration = Duration::from_millis(1200);
+pub(crate) const STATE_WAIT: Duration = Duration::from_millis(1200);
 /// The interval between checks for it.
-const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+pub(crate) const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Waits until the state of a kind was received from another node, if others come first in
 /// this node's data centre: when all start at once, few of them need to ask the registry.
@@ -319,6 +320,8 @@
         }
         process.has_server_list.set(true);
         apply_changes(process, &changes);
+        // A removal that is heard of late may be due already.
+        expire(process);
     }
     if kind == Kind::Evacuations && is_list {
         let is_copy = relation == Relation::Replacement;
@@ -401,14 +404,21 @@
 /// Removes servers whose entries have been missing for long enough.
 pub(crate) async fn expire_servers(process: Rc<Process>) {
     loop {
-        sleep(EXPIRY_INTERVAL).await;
-        let changes = process.fleet.borrow_mut().expire(process.clock.now());
-        apply_changes(&process, &changes);
+        let interval_end = process.clock.now() + EXPIRY_INTERVAL;
+        let due = process.fleet.borrow().next_expiry();
+        let wake_at = due.map_or(interval_end, |due| due.min(interval_end));
+        sleep_until(process.clock.instant(wake_at)).await;
+        expire(&process);
         evacuations::expire(&process);
     }
 }
 
-/// The interval between checks for missing entries.
+fn expire(process: &Process) {
+    let changes = process.fleet.borrow_mut().expire(process.clock.now());
+    apply_changes(process, &changes);
+}
+
+/// The maximum interval between checks for missing entries.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Applies changes of the servers to the table and to the connections.
@@ -416,8 +426,18 @@
     let now = process.clock.now();
     let cold = limits::cold_servers(process);
     for change in changes {
-        if !matches!(change, Change::Up(_)) {
-            log::info!(target: "servers", change:? = change; "A server's state changed.");
+        match change {
+            Change::Up(_) => {}
+            Change::Lapsing(incarnation) => {
+                let due = process.fleet.borrow().removal_due(&incarnation.id);
+                let left_ms = due.map(|due| due.since(now).as_millis() as u64);
+                let confirmed_ms =
+                    now.since(process.confirmed_at(Kind::Servers)).as_millis() as u64;
+                log::info!(target: "servers", change:? = change, source:? = process.source.get(), confirmed_ms, left_ms; "A server's entry is missing; it is removed after the time that is left.");
+            }
+            Change::Leaving(_) | Change::Gone(_) => {
+                log::info!(target: "servers", change:? = change; "A server's state changed.");
+            }
         }
         let removed = process.table.borrow_mut().apply(now, change);
         if let Some(server) = removed {
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -153,8 +153,8 @@
             "seeds": seeds,
             "bounds": {
                 "grace_s": 6, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 52,
-                "ttl_max_s": 5, "config_apply_ms": 3000, "quota_window_s": 5, "quota_overage": 0.1,
-                "quota_slack": 20
+                "ttl_max_s": 5, "config_apply_ms": 3000, "drain_ms": 3000, "quota_window_s": 5,
+                "quota_overage": 0.1, "quota_slack": 20
             },
             "platform": { "address": store }
         });
--- a/crates/version/site/src/fleet.rs
+++ b/crates/version/site/src/fleet.rs
@@ -5,7 +5,9 @@
 //! even if an older entry arrives later. An entry of an earlier incarnation than the
 //! known one changes nothing. A missing entry is kept for
 //! [`Settings::removal_delay`], since it may have expired during an outage of the
-//! registry and be registered again; after that delay, the server is removed.
+//! registry and be registered again; after that delay, the server is removed. However late
+//! this node hears of it, unless it has seen an outage: the server is removed within
+//! [`Settings::removal_limit`] of the last time at which the registry had the entry.
 //!
 //! A registry that returns from a copy lists servers again that have left since. One that
 //! this node saw leave is held: it gets requests only when its entry is written again, or
@@ -23,8 +25,11 @@
 /// How long servers with missing entries are kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// How long a server is still used after its entry disappeared.
+    /// How long a server is still used after this node has heard that its entry disappeared.
     pub removal_delay: Duration,
+    /// The maximum time for which it is still used, counted from when the registry last
+    /// confirmed the entry.
+    pub removal_limit: Duration,
     /// The same, counted from the end of an outage of the registry.
     pub outage_removal_delay: Duration,
     /// How long the registry keeps an entry that its server does not write.
@@ -34,9 +39,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            // Together with the delay of the watch, this stays below the three
-            // seconds after which a draining server must get no more requests.
             removal_delay: Duration::from_millis(1900),
+            removal_limit: Duration::from_millis(2600),
             // Servers register again within two seconds of the end of an outage.
             outage_removal_delay: Duration::from_millis(2500),
             copied_entry_lifetime: Duration::from_secs(4),
@@ -95,6 +99,8 @@
     held: HashMap<Arc<str>, (Entry, Time)>,
     /// The end of the last outage of the registry.
     outage_end: Option<Time>,
+    /// When the registry last confirmed the entries.
+    confirmed_at: Option<Time>,
 }
 
 impl Fleet {
@@ -133,6 +139,12 @@
         self.outage_end
     }
 
+    /// Records that the registry had exactly the known entries at `at`: those that go missing
+    /// afterwards were removed later than that.
+    pub fn confirm(&mut self, at: Time) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
     /// Applies one event; returns the change that it causes.
     pub fn apply(&mut self, now: Time, event: Event) -> Option<Change> {
         match event {
@@ -246,12 +258,28 @@
             missing.from_copy &= from_copy;
             return None;
         }
+        let due = self.removal_time(now);
+        self.missing.insert(Arc::clone(id), Missing { due, from_copy });
+        Some(Change::Lapsing(entry.incarnation.clone()))
+    }
+
+    /// When a server is removed whose entry is found missing at `now`.
+    fn removal_time(&self, now: Time) -> Time {
+        let confirmed_at = self.confirmed_at.unwrap_or(now);
         let mut due = now + self.settings.removal_delay;
         if let Some(end) = self.outage_end {
             due = due.max(end + self.settings.outage_removal_delay);
+            // The registry may have lost the entry in the outage and not have had it since.
+            if end > confirmed_at {
+                return due;
+            }
         }
-        self.missing.insert(Arc::clone(id), Missing { due, from_copy });
-        Some(Change::Lapsing(entry.incarnation.clone()))
+        due.min(confirmed_at + self.settings.removal_limit)
+    }
+
+    /// When the server `id` is removed, if its entry is missing.
+    pub fn removal_due(&self, id: &str) -> Option<Time> {
+        self.missing.get(id).map(|missing| missing.due)
     }
 
     /// The number of drained servers that are remembered.
--- a/crates/version/site/tests/fleet_changes.rs
+++ b/crates/version/site/tests/fleet_changes.rs
@@ -96,6 +96,37 @@
     assert_eq!(fleet.expire(at(13_000)), [Change::Gone(incarnation("a", 1))]);
 }
 
+/// Guards against a removal that counts from when this node hears of it: a node that waits for
+/// another one hears of it late.
+#[test]
+fn removal_that_is_heard_of_late_is_due_in_time() {
+    let settings = Settings::default();
+    let mut fleet = Fleet::new(settings);
+    put(&mut fleet, 0, entry("a", 1));
+    fleet.confirm(at(10_000));
+    removed(&mut fleet, 12_000, "a");
+    assert_eq!(fleet.next_expiry(), Some(at(10_000) + settings.removal_limit));
+    put(&mut fleet, 12_100, entry("a", 1));
+    removed(&mut fleet, 14_000, "a");
+    assert_eq!(fleet.expire(at(14_000)), [Change::Gone(incarnation("a", 1))]);
+}
+
+/// An entry that may have expired in an outage has time to return, whatever was confirmed before.
+#[test]
+fn removal_in_an_outage_is_not_hastened() {
+    let mut fleet = Fleet::new(Settings::default());
+    put(&mut fleet, 0, entry("a", 1));
+    fleet.confirm(at(1000));
+    fleet.outage_ended(at(10_000));
+    fleet.apply_list(at(10_000), Vec::new());
+    assert!(fleet.expire(at(12_000)).is_empty());
+    // After the registry has confirmed the entries again, they are removed in time.
+    put(&mut fleet, 12_000, entry("a", 1));
+    fleet.confirm(at(12_000));
+    removed(&mut fleet, 14_000, "a");
+    assert_eq!(fleet.expire(at(14_600)), [Change::Gone(incarnation("a", 1))]);
+}
+
 #[test]
 fn repeated_removal_does_not_extend_the_delay() {
     let mut fleet = Fleet::new(Settings::default());
