platform, watcher: an entry that can't be read costs only itself

Cause: an answer of the store was parsed whole into a tree. Unreadable objects are counted and logged once.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -12,10 +12,11 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use hyper::http::HeaderValue;
 use parking_lot::Mutex;
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
-use serde_json::json;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -54,9 +55,13 @@
 #[derive(Clone, Debug)]
 pub struct Backup {
     revision: u64,
-    current: BTreeMap<(String, String), Value>,
+    current: BTreeMap<(String, String), Arc<[u8]>>,
 }
 
+/// The maximum number of objects of a page, and the size from which it is full, in bytes.
+const PAGE_OBJECTS: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+
 #[derive(Default)]
 struct Objects {
     era: u64,
@@ -64,9 +69,10 @@
     revision: u64,
     /// The oldest revision from which a watch can start.
     oldest: u64,
-    current: BTreeMap<(String, String), Value>,
+    /// The objects by kind and name, as JSON: other writers' content may be any bytes.
+    current: BTreeMap<(String, String), Arc<[u8]>>,
     /// Every change: its revision, kind and event.
-    history: Vec<(u64, String, Value)>,
+    history: Vec<(u64, String, Arc<[u8]>)>,
     behavior: Behavior,
     calls: u64,
 }
@@ -133,6 +139,11 @@
 
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
+        self.shared.put(kind, name, spec.to_string().as_bytes());
+    }
+
+    /// Creates or replaces an object of another writer, whose content may be any bytes.
+    pub fn put_raw(&self, kind: &str, name: &str, spec: &[u8]) {
         self.shared.put(kind, name, spec);
     }
 
@@ -142,7 +153,7 @@
         let Some(object) = objects.current.remove(&(kind.to_owned(), name.to_owned())) else {
             return;
         };
-        self.shared.record(&mut objects, kind, json!({ "object": object, "deleted": true }));
+        self.shared.record(&mut objects, kind, event(&object, true));
     }
 
     /// A copy of the present content.
@@ -198,26 +209,49 @@
 }
 
 impl Shared {
-    fn put(&self, kind: &str, name: &str, spec: &Value) -> Value {
+    fn put(&self, kind: &str, name: &str, spec: &[u8]) -> Arc<[u8]> {
         let mut objects = self.objects.lock();
         let revision = objects.revision + 1;
-        let object = json!({
-            "meta": { "name": name, "revision": revision, "created": 1, "finalizers": [], "deleting": false },
-            "spec": spec,
-            "status": null
-        });
-        objects.current.insert((kind.to_owned(), name.to_owned()), object.clone());
-        self.record(&mut objects, kind, json!({ "object": object, "deleted": false }));
+        let name_text = Value::from(name).to_string();
+        let meta = format!(
+            "{{\"meta\":{{\"name\":{name_text},\"revision\":{revision},\"created\":1,\
+             \"finalizers\":[],\"deleting\":false}},\"spec\":"
+        );
+        let object = [meta.as_bytes(), spec, b",\"status\":null}"].concat();
+        let object: Arc<[u8]> = Arc::from(object);
+        objects.current.insert((kind.to_owned(), name.to_owned()), Arc::clone(&object));
+        self.record(&mut objects, kind, event(&object, false));
         object
     }
 
-    fn record(&self, objects: &mut Objects, kind: &str, event: Value) {
+    fn record(&self, objects: &mut Objects, kind: &str, event: Arc<[u8]>) {
         objects.revision += 1;
-        objects.history.push((objects.revision, kind.to_owned(), event));
-        self.changed.send_replace(objects.revision);
+        let revision = objects.revision;
+        objects.history.push((revision, kind.to_owned(), event));
+        self.changed.send_replace(revision);
     }
 }
 
+/// The event of a change of an object.
+fn event(object: &[u8], deleted: bool) -> Arc<[u8]> {
+    let end = format!(",\"deleted\":{deleted}}}");
+    Arc::from([b"{\"object\":", object, end.as_bytes()].concat())
+}
+
+/// A reply of JSON that begins with a list of `items` under `key`.
+fn list_reply(key: &str, items: &[&[u8]], rest: &str) -> Reply {
+    let start = format!("{{\"{key}\":[");
+    let body = [start.as_bytes(), &items.join(&b","[..]), b"],", rest.as_bytes(), b"}"].concat();
+    raw_json(body)
+}
+
+fn raw_json(body: Vec<u8>) -> Reply {
+    let mut reply = http::text(StatusCode::OK, "");
+    *reply.body_mut() = http::full(body);
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
+
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> io::Result<Reply> {
     let behavior = {
         let mut objects = shared.objects.lock();
@@ -235,13 +269,16 @@
         return Ok(http::text(StatusCode::NOT_FOUND, "no such path"));
     };
     let (kind, name) = rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
+    let name = name.map(|name| percent_decode_str(name).decode_utf8_lossy().into_owned());
     if request.method() == Method::GET && name.is_none() {
         let since = http::number(request.uri(), "watch");
         let wait = Duration::from_millis(http::number(request.uri(), "wait_ms"));
         return if since > 0 {
             changes(&shared, kind, since, wait).await
         } else {
-            Ok(list(&shared, kind))
+            let after = http::parameter(request.uri(), "after").unwrap_or_default();
+            let after = percent_decode_str(after).decode_utf8_lossy();
+            Ok(list(&shared, kind, &after))
         };
     }
     let method = request.method().clone();
@@ -249,15 +286,19 @@
         Ok(body) => body,
         Err(reply) => return Ok(*reply),
     };
-    let named = name.or_else(|| body.get("meta")?.get("name")?.as_str());
+    let named = name.or_else(|| body.get("meta")?.get("name")?.as_str().map(str::to_owned));
     let Some(name) = named else { return Ok(http::text(StatusCode::BAD_REQUEST, "no name")) };
-    let existing = shared.objects.lock().current.get(&(kind.to_owned(), name.to_owned())).cloned();
+    let existing = shared.objects.lock().current.get(&(kind.to_owned(), name.clone())).cloned();
     let spec = body.get("spec").cloned().unwrap_or(Value::Null);
     Ok(match (method, existing) {
-        (Method::POST, Some(existing)) => http::json(StatusCode::CONFLICT, &existing),
+        (Method::POST, Some(existing)) => {
+            let mut reply = raw_json(existing.to_vec());
+            *reply.status_mut() = StatusCode::CONFLICT;
+            reply
+        }
         (Method::PUT, None) => http::text(StatusCode::NOT_FOUND, "no such object"),
         (Method::POST | Method::PUT, _) => {
-            http::json(StatusCode::OK, &shared.put(kind, name, &spec))
+            raw_json(shared.put(kind, &name, spec.to_string().as_bytes()).to_vec())
         }
         _ => {
             http::text(StatusCode::METHOD_NOT_ALLOWED, "the stand-in does not support this method")
@@ -265,11 +306,21 @@
     })
 }
 
-fn list(shared: &Shared, kind: &str) -> Reply {
+fn list(shared: &Shared, kind: &str, after: &str) -> Reply {
     let objects = shared.objects.lock();
     let of_kind = objects.current.iter().filter(|((object_kind, _), _)| object_kind == kind);
-    let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-    http::json(StatusCode::OK, &json!({ "items": items, "more": false, "as_of": objects.revision }))
+    let mut later = of_kind.filter(|((_, name), _)| name.as_str() > after).peekable();
+    let mut items: Vec<&[u8]> = Vec::new();
+    let mut bytes = 0;
+    while items.len() < PAGE_OBJECTS
+        && bytes < PAGE_BYTES
+        && let Some((_, object)) = later.next()
+    {
+        bytes += object.len();
+        items.push(object);
+    }
+    let (more, as_of) = (later.peek().is_some(), objects.revision);
+    list_reply("items", &items, &format!("\"more\":{more},\"as_of\":{as_of}"))
 }
 
 async fn changes(shared: &Shared, kind: &str, since: u64, wait: Duration) -> io::Result<Reply> {
@@ -296,10 +347,10 @@
             let later = objects.history.iter();
             let later =
                 later.filter(|(revision, event_kind, _)| *revision > since && event_kind == kind);
-            let events: Vec<&Value> = later.map(|(_, _, event)| event).collect();
+            let events: Vec<&[u8]> = later.map(|(_, _, event)| &**event).collect();
             if !events.is_empty() || tokio::time::Instant::now() >= end {
-                let body = json!({ "events": events, "as_of": objects.revision });
-                return Ok(http::json(StatusCode::OK, &body));
+                let as_of = format!("\"as_of\":{}", objects.revision);
+                return Ok(list_reply("events", &events, &as_of));
             }
         }
         // After the timeout, the next round returns an empty list of events.
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -51,6 +51,7 @@
     registry_revision: Gauge<u64>,
     config_version: Gauge<u64>,
     ignored_batches: Counter<u64>,
+    unreadable: Gauge<u64>,
     usage_datagrams: Counter<u64>,
     usage_bytes: Counter<u64>,
 }
@@ -90,6 +91,7 @@
             registry_revision: meter.u64_gauge("heatherseam_registry_revision").build(),
             config_version: meter.u64_gauge("heatherseam_version_in_use").build(),
             ignored_batches: meter.u64_counter("heatherseam_registry_ignored").build(),
+            unreadable: meter.u64_gauge("heatherseam_unreadable_entries").build(),
             usage_datagrams: meter.u64_counter("heatherseam_usage_datagrams").build(),
             usage_bytes: meter.u64_counter("heatherseam_usage_bytes").build(),
             _provider: provider,
@@ -204,6 +206,11 @@
         self.config_version.record(version, &[]);
     }
 
+    /// Records the number of objects of a kind that can't be parsed.
+    pub(crate) fn record_unreadable(&self, kind: Kind, count: usize) {
+        self.unreadable.record(count as u64, &[KeyValue::new("kind", kind.name())]);
+    }
+
     /// Counts a list or changes that were older than the state of their kind.
     pub(crate) fn record_ignored(&self, kind: Kind) {
         self.ignored_batches.add(1, &[KeyValue::new("kind", kind.name())]);
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -38,6 +38,7 @@
 use crate::shares::Shares;
 use crate::source::Selector;
 use crate::source::Source;
+use crate::unreadable;
 use crate::upstream::Pool;
 use crate::usage;
 use crate::usage::Context;
@@ -103,6 +104,8 @@
     pub(crate) era: RefCell<era::Tracker>,
     /// Notified when it rises.
     pub(crate) era_risen: Notify,
+    /// The registry's objects that can't be parsed.
+    pub(crate) unreadable: RefCell<unreadable::Objects>,
     /// The revisions and recent changes of the registry's state.
     pub(crate) feeds: RefCell<Feeds>,
     /// Notified when [`Self::feeds`] has changes.
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -230,6 +230,7 @@
         fairness: fairness::State::default(),
         era: RefCell::new(era::Tracker::default()),
         era_risen: Notify::new(),
+        unreadable: RefCell::default(),
         feeds: RefCell::new(Feeds::new()),
         state_changed: Notify::new(),
         selector: RefCell::new(Selector::default()),
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -62,7 +62,7 @@
     match timeout(FIRST_NODE_LIST_TIMEOUT, list).await {
         Ok(Ok(reading)) => {
             let batch = process.date(Kind::Nodes, reading);
-            apply_batch(&process, Kind::Nodes, batch, true);
+            apply_answer(&process, Kind::Nodes, batch, true);
         }
         Ok(Err(error)) => {
             log::info!(target: "members", error:% = error; "The nodes can't be listed at the start.");
@@ -148,7 +148,7 @@
                 }
                 failures = 0;
                 let changed = !batch.events.is_empty();
-                if !apply_batch(&process, kind, batch, is_list) {
+                if !apply_answer(&process, kind, batch, is_list) {
                     unusable += 1;
                     sleep(backoff(&process, unusable)).await;
                     continue;
@@ -225,7 +225,7 @@
         match process.registry.watch(kind, known.number, OWN_CALL_WAIT).await {
             Ok(reading) => {
                 let batch = process.date(kind, reading);
-                if apply_batch(process, kind, batch, false) {
+                if apply_answer(process, kind, batch, false) {
                     return Ok(true);
                 }
             }
@@ -234,7 +234,7 @@
         }
     }
     let batch = process.date(kind, process.registry.list(kind, Freshness::Current).await?);
-    Ok(apply_batch(process, kind, batch, true))
+    Ok(apply_answer(process, kind, batch, true))
 }
 
 /// How long a follower's own call waits for a change.
@@ -253,6 +253,19 @@
     delay.mul_f64(0.5 + 0.5 * process.table.borrow_mut().random_fraction())
 }
 
+/// Applies a list or changes that the registry has sent to this node, as [`apply_batch`].
+fn apply_answer(process: &Process, kind: Kind, batch: Batch, is_list: bool) -> bool {
+    if is_list {
+        // Other nodes don't pass these on in their lists.
+        let names = batch.events.iter().filter_map(|event| match event {
+            Event::Unreadable { name, .. } => Some(&**name),
+            _ => None,
+        });
+        process.unreadable.borrow_mut().listed(kind, names);
+    }
+    apply_batch(process, kind, batch, is_list)
+}
+
 /// Applies a list or changes of a kind. Returns whether they were used: a state that is older
 /// than the present one is not, and neither are changes to a state of a later era than this
 /// node's.
@@ -278,6 +291,7 @@
     let mut changes = Vec::new();
     let now = process.clock.now();
     let is_empty = batch.events.is_empty();
+    record_unreadable(process, kind, &batch.events);
     for event in batch.events {
         match event {
             Event::Put(Item::Config(config)) => install_config(process, &config),
@@ -300,13 +314,12 @@
             Event::Removed(name) => {
                 log::info!(target: "registry", kind:? = kind, name = name.as_ref(); "An object was removed.");
             }
-            Event::Unreadable { name, reason } => {
-                log::warn!(target: "registry", kind:? = kind, name = name.as_ref(), reason = reason.as_str(); "An object is invalid.");
-                if kind == Kind::Servers && !is_list {
-                    let removed = fleet::Event::Removed(name);
-                    changes.extend(process.fleet.borrow_mut().apply(now, removed));
-                }
+            // It names no server to use.
+            Event::Unreadable { name, .. } if kind == Kind::Servers && !is_list => {
+                let removed = fleet::Event::Removed(name);
+                changes.extend(process.fleet.borrow_mut().apply(now, removed));
             }
+            Event::Unreadable { .. } => {}
         }
     }
     if kind == Kind::Servers {
@@ -333,6 +346,32 @@
     true
 }
 
+/// The part of an object's name that is logged, in bytes.
+const MAX_LOGGED_NAME_BYTES: usize = 200;
+
+/// Counts the objects that can't be parsed, and logs each once.
+fn record_unreadable(process: &Process, kind: Kind, events: &[Event]) {
+    let mut unreadable = process.unreadable.borrow_mut();
+    for event in events {
+        match event {
+            Event::Unreadable { name, reason } => {
+                if unreadable.found(kind, name, reason) {
+                    let shown = &name[..name.floor_char_boundary(MAX_LOGGED_NAME_BYTES)];
+                    log::warn!(target: "registry", kind = kind.name(), name = shown, reason = reason.as_str(); "An object is invalid.");
+                }
+            }
+            Event::Removed(name) | Event::Put(Item::Evacuation(name)) => {
+                unreadable.ended(kind, name);
+            }
+            Event::Put(Item::Server(entry)) => unreadable.ended(kind, &entry.incarnation.id),
+            Event::Put(Item::Node(node)) => unreadable.ended(kind, &node.name),
+            // There is one object of this kind.
+            Event::Put(Item::Config(_)) => unreadable.listed(kind, []),
+        }
+    }
+    process.metrics.record_unreadable(kind, unreadable.count(kind));
+}
+
 /// Applies what an older state says for good: a later version of the configuration, and that
 /// servers leave.
 fn apply_permanent(process: &Process, events: Vec<Event>) {
@@ -564,7 +603,7 @@
                 lists += 1;
                 let batch = process.date(Kind::Nodes, reading);
                 failures =
-                    if apply_batch(&process, Kind::Nodes, batch, true) { 0 } else { failures + 1 };
+                    if apply_answer(&process, Kind::Nodes, batch, true) { 0 } else { failures + 1 };
                 if lists < FIRST_NODE_LISTS {
                     sleep(FIRST_NODE_LIST_INTERVAL).await;
                 }
--- /dev/null
+++ b/crates/process/node/tests/foreign_writer.rs
@@ -0,0 +1,71 @@
+//! Entries of another writer among those of the servers: nodes that run follow all changes beside
+//! them, and nodes that start get their lists, within their memory.
+
+use crate::deployed::Cluster;
+use crate::deployed::Node;
+use crate::deployed::request;
+use fakes::wait::eventually;
+
+mod deployed;
+
+/// Contents that can't be read, though their neighbours can.
+fn unreadable() -> [(&'static str, Vec<u8>); 5] {
+    let entry = |zone: &str, slots: &str, port: u32| {
+        format!(
+            "{{\"service\":\"plain\",\"address\":\"127.0.0.1:{port}\",\"zone\":{zone},\
+             \"slots\":{slots},\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1}}"
+        )
+        .into_bytes()
+    };
+    let deep = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    [
+        ("x-surrogate", entry("\"hall \\ud83d\"", "2", 9)),
+        ("x-number", entry("\"hall\"", "1e400", 9)),
+        ("x-nested", entry(&deep, "2", 9)),
+        ("x-port", entry("\"hall\"", "2", 70_000)),
+        ("x-bytes", b"\"\xff\xfe\xc3\"".to_vec()),
+    ]
+}
+
+/// A cluster, and a node that knows only the first server of the service `plain`.
+async fn start() -> (Cluster, Node) {
+    let cluster = Cluster::start();
+    cluster.publish();
+    let new = cluster.servers_of("plain").nth(1).expect("a server");
+    cluster.store.delete("servers", &new.id);
+    let node = cluster.start_node();
+    node.wait_until_ready().await;
+    (cluster, node)
+}
+
+/// Replaces that server by one that the node uses only if it follows the changes.
+async fn follow_replacement(cluster: &Cluster, node: &Node) {
+    let mut servers = cluster.servers_of("plain");
+    let (old, new) = (servers.next().expect("a server"), servers.next().expect("another one"));
+    cluster.store.put("servers", &new.id, &new.entry("ready"));
+    cluster.store.put("servers", &old.id, &old.entry("draining"));
+    eventually("the new server is used", async || {
+        node.send(request("s", "GET", "/view/x", "")).await;
+        !new.runs().is_empty()
+    })
+    .await;
+}
+
+/// Guards against one entry that makes each list and each batch of changes unreadable.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_entries_hide_no_server() {
+    let (cluster, node) = start().await;
+    for (name, content) in unreadable() {
+        cluster.store.put_raw("servers", name, &content);
+    }
+    follow_replacement(&cluster, &node).await;
+    let started = cluster.start_node();
+    started.wait_until_ready().await;
+    let metrics = started.metrics().await;
+    let is_count = |line: &&str| line.contains("unreadable_entries{kind=\"servers\"");
+    let line = metrics.lines().find(is_count).expect("the number of unreadable entries");
+    assert!(line.ends_with(" 5"), "{line}");
+    let lines = started.log_lines();
+    let logged = |name: &str| lines.iter().filter(|line| line["name"] == name).count();
+    assert!(unreadable().iter().all(|(name, _)| logged(name) == 1), "each is logged once");
+}
