--- a/crates/process/node/tests/foreign_writer.rs
+++ b/crates/process/node/tests/foreign_writer.rs
@@ -8,6 +8,9 @@
 
 mod deployed;
 
+/// The maximum size of an object's content, in bytes.
+const VALUE_BYTES: usize = 1 << 20;
+
 /// Contents that can't be read, though their neighbours can.
 fn unreadable() -> [(&'static str, Vec<u8>); 5] {
     let entry = |zone: &str, slots: &str, port: u32| {
@@ -69,3 +72,15 @@
     let logged = |name: &str| lines.iter().filter(|line| line["name"] == name).count();
     assert!(unreadable().iter().all(|(name, _)| logged(name) == 1), "each is logged once");
 }
+
+/// Guards against names that break the query of the next page: a page ends after a large entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn names_of_any_letters_do_not_stop_a_list() {
+    let cluster = Cluster::start();
+    let content = format!("\"{}\"", "x".repeat(VALUE_BYTES - 10));
+    for name in ["batch job 7", "batch#7", "batch&7", "batch/7?a=%20", "batch é"] {
+        cluster.store.put_raw("servers", name, content.as_bytes());
+    }
+    let node = cluster.start_ready_node().await;
+    assert_eq!(node.send(request("1", "GET", "/view/x", "")).await.status(), 200);
+}
