platform: answers of the store are read as a stream, entry by entry

The test for it found that over 16 MB of changes since the last watch stop a node from following for good. Cause: an answer was held and parsed whole, up to 16 MiB, whatever the process's memory. Change: each part of an answer goes through the splitter as it arrives. One entry is held, of at most a sixteenth of memory_mb; a larger one is skipped and counts as unreadable.

--- a/crates/process/node/src/main.rs
+++ b/crates/process/node/src/main.rs
@@ -118,7 +118,7 @@
             return ExitCode::from(EXIT_FAILURE);
         }
     };
-    let registry = Box::new(Store::new(settings.registry_address));
+    let registry = Box::new(Store::new(settings.registry_address, settings.memory));
     let settings_file = PathBuf::from(path);
     let reload =
         move || platform::settings::load(&settings_file).map_err(|report| report.to_string());
--- a/crates/process/node/tests/foreign_writer.rs
+++ b/crates/process/node/tests/foreign_writer.rs
@@ -1,7 +1,12 @@
 //! Entries of another writer among those of the servers: nodes that run follow all changes beside
 //! them, and nodes that start get their lists, within their memory.
 
+use std::time::Duration;
+
+use tokio::time::sleep;
+
 use crate::deployed::Cluster;
+use crate::deployed::MEMORY_MB;
 use crate::deployed::Node;
 use crate::deployed::request;
 use fakes::wait::eventually;
@@ -84,3 +89,38 @@
     let node = cluster.start_ready_node().await;
     assert_eq!(node.send(request("1", "GET", "/view/x", "")).await.status(), 200);
 }
+
+/// Writes `count` entries of the maximum size, each a list of numbers.
+fn put_large(cluster: &Cluster, count: usize) {
+    let content = format!("[{}0]", "7,".repeat(VALUE_BYTES / 2 - 10));
+    for number in 0..count {
+        cluster.store.put_raw("servers", &format!("x-{number}"), content.as_bytes());
+    }
+}
+
+/// Guards against answers of the store that take a node over its memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_entries_take_little_memory() {
+    let (cluster, node) = start().await;
+    for _ in 0..3 {
+        put_large(&cluster, 12);
+        sleep(Duration::from_millis(700)).await;
+    }
+    follow_replacement(&cluster, &node).await;
+    let started = cluster.start_node();
+    started.wait_until_ready().await;
+    for node in [&node, &started] {
+        let peak = node.peak_memory_mb();
+        assert!(peak < MEMORY_MB, "{peak} MB of {MEMORY_MB}");
+    }
+}
+
+/// Guards against a limit on the size of an answer that stops a node from following: all changes
+/// since the last watch come in one answer, however many there are.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_of_any_size_are_followed() {
+    let (cluster, node) = start().await;
+    put_large(&cluster, 40);
+    follow_replacement(&cluster, &node).await;
+    assert!(node.peak_memory_mb() < MEMORY_MB);
+}
