node: tests show that a reply that ends early is never passed on as whole

It can't happen here: the HTTP library reports the end of a connection within a head, a chunk or a stated length, or a reset, as an error, and a reply with an error is an attempt that may have run.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod crashing;
+pub mod cutting;
 pub mod doubling;
 pub mod endless;
 pub mod hits;
--- a/crates/process/node/tests/lost_path.rs
+++ b/crates/process/node/tests/lost_path.rs
@@ -11,7 +11,10 @@
 use crate::deployed::Node;
 use crate::deployed::config;
 use crate::deployed::header;
+use crate::deployed::record;
 use crate::deployed::request;
+use fakes::cutting;
+use fakes::cutting::Framing;
 use fakes::instance::run_counts;
 use fakes::link::Link;
 use fakes::link::Mode;
@@ -240,3 +243,33 @@
         assert!(!runs.is_empty() && runs.iter().all(|run| !run.has_credential), "{id} {runs:?}");
     }
 }
+
+/// Guards against an answer that ends early and is passed on as whole by the second of two nodes.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_to_a_request_that_is_passed_on_is_never_a_success() {
+    let mut pair = Pair::start().await;
+    pair.refuse();
+    pair.wait_until_out_of_lookups().await;
+    let records = [record(1, 1), record(101, 2)].concat();
+    let server = cutting::Server::start("cut-0", "plain", &records).await.expect("a server");
+    pair.cluster.store.put("servers", server.id(), &server.entry());
+    for other in pair.cluster.servers_of("plain") {
+        pair.cluster.store.put("servers", &other.id, &other.entry("draining"));
+    }
+    eventually("the server is used", async || {
+        pair.near.send(request("first", "GET", "/view/x", "")).await;
+        !server.runs().is_empty()
+    })
+    .await;
+    for framing in [Framing::Length, Framing::Chunks] {
+        let (bytes, _) = cutting::answer(framing, "cut-0", "p-length-000", &records);
+        for length in (0..bytes.len()).step_by(7) {
+            let path = format!("/view/{}/closed/{length}", framing.name());
+            let id = format!("p-{}-{length:03}", framing.name());
+            let answer = pair.far.send(request(&id, "GET", &path, "")).await;
+            assert_ne!(answer.status(), 200, "{path}: {} bytes", answer.body().len());
+            assert!(server.runs().contains(&id), "{path} was not passed on");
+            pair.near.send(request("whole", "GET", "/view/x", "")).await;
+        }
+    }
+}
