--- a/crates/version/conf/src/lib.rs
+++ b/crates/version/conf/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod schema;
 pub mod settings;
 pub mod shape;
+pub mod tree;
 pub mod value;
 pub mod verify;
 pub mod yaml;
--- a/crates/version/conf/src/yaml.rs
+++ b/crates/version/conf/src/yaml.rs
@@ -101,7 +101,10 @@
     Span { line, column, length: length.max(1) }
 }
 
-fn duplicate_key_finding(first: &MarkedScalarNode, duplicate: &MarkedScalarNode) -> Finding {
+pub(crate) fn duplicate_key_finding(
+    first: &MarkedScalarNode,
+    duplicate: &MarkedScalarNode,
+) -> Finding {
     let line = scalar_span(first).line;
     let message = format!("duplicate key `{}`, first on line {line}", duplicate.as_str());
     Finding { span: scalar_span(duplicate), message }
