--- a/crates/process/node/tests/lost_path.rs
+++ b/crates/process/node/tests/lost_path.rs
@@ -15,6 +15,7 @@
 use crate::deployed::request;
 use fakes::cutting;
 use fakes::cutting::Framing;
+use fakes::instance::Behavior;
 use fakes::instance::run_counts;
 use fakes::link::Link;
 use fakes::link::Mode;
@@ -273,3 +274,25 @@
         }
     }
 }
+
+/// Guards against a request that another node has passed on and that is cut by a planned stop of
+/// this one, and against one that it takes though it stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_node_answers_what_it_has_taken_over_and_takes_no_more() {
+    let mut pair = Pair::start().await;
+    pair.refuse();
+    pair.wait_until_out_of_lookups().await;
+    let slow = Behavior::Slow(Duration::from_secs(3));
+    pair.cluster.servers_of("plain").for_each(|server| server.set_behavior(slow));
+    let taken = pair.far.send(request("taken", "POST", "/book/x", "b"));
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        pair.near.terminate().await;
+        pair.far.send(request("late", "POST", "/book/x", "b")).await
+    };
+    let (taken, late) = tokio::join!(taken, stop);
+    assert_eq!((taken.status().as_u16(), late.status().as_u16()), (200, 503));
+    let runs = run_counts(pair.cluster.servers.iter());
+    assert_eq!((runs.get("taken"), runs.get("late")), (Some(&1), None));
+    assert!(pair.near.wait_for_exit().await);
+}
