--- a/crates/fakes/examples/soak/caller.rs
+++ b/crates/fakes/examples/soak/caller.rs
@@ -38,6 +38,10 @@
 /// The header with a caller's key, and one that must not contain it.
 const CREDENTIAL: &str = "heatherseam-credential";
 const OTHER_HEADER: &str = "x-origin";
+/// The requests on connections that were opened before a stop, and the time over which they are
+/// sent: that of the stop.
+const LATE_REQUESTS: usize = 24;
+const STOP_TIME: Duration = Duration::from_millis(6300);
 /// The pause between two requests that end servers.
 const POISON_INTERVAL: Duration = Duration::from_millis(330);
 
@@ -233,6 +237,36 @@
         });
     }
 
+    /// Opens connections to a node that is about to stop, and sends one request on each at a random
+    /// moment of its stop.
+    pub async fn start_late(self: &Arc<Self>, system: &Arc<System>, number: usize, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ number as u64);
+        for count in 0..LATE_REQUESTS {
+            let open = Connection::open(system.nodes()[number].address);
+            let Ok(Ok(mut connection)) = timeout(TIMEOUT, open).await else { continue };
+            let delay = STOP_TIME.mul_f64(rng.random_range(0.0..1.0));
+            let kind = if count % 2 == 0 { Kind::Book } else { Kind::View };
+            let (calls, system) = (Arc::clone(self), Arc::clone(system));
+            tokio::spawn(async move {
+                sleep(delay).await;
+                let node = &system.nodes()[number];
+                let id = format!("l{:x}", calls.next.fetch_add(1, Ordering::Relaxed));
+                let lifetime = || node.lifetime.load(Ordering::Relaxed);
+                let (before, sent) = (lifetime(), Instant::now());
+                let (method, path) = target(kind);
+                let reply = timeout(TIMEOUT * 2, connection.send(request(&id, method, &path)));
+                let answer = match reply.await {
+                    Ok(Ok(response)) => Some(answer(response)),
+                    _ => None,
+                };
+                let (ended, lifetimes) = (Instant::now(), (before, lifetime()));
+                let key = None;
+                let call = Call { id, node: number, lifetimes, kind, key, sent, ended, answer };
+                calls.calls.lock().push(call);
+            });
+        }
+    }
+
     async fn call_poison(&self, system: &System, number: usize, search: bool) {
         let id = format!("p{:x}", self.next.fetch_add(1, Ordering::Relaxed));
         let suffix = if system.changes_poison() { id.as_str() } else { "" };
--- a/crates/fakes/examples/soak/check.rs
+++ b/crates/fakes/examples/soak/check.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use serde_json::Value;
 
@@ -196,6 +198,7 @@
     fn check_departures(&self, found: &mut Vec<String>) {
         let by_id: HashMap<&str, &Call> =
             self.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+        let lost_paths = self.lost_paths();
         for departure in self.system.departures() {
             let Some(instance) = self.instances.iter().find(|i| i.id == departure.id) else {
                 continue;
@@ -214,7 +217,9 @@
                     let answered = arrived.iter().filter(same).filter(|c| c.status() == 200);
                     answered.map(|other| other.ended).min()
                 } else {
-                    self.in_touch(call.node, call.sent).then_some(departure.at)
+                    let in_touch = self.in_touch(call.node, call.sent)
+                        && !self.may_have_been_passed_on(call, &lost_paths);
+                    in_touch.then_some(departure.at)
                 };
                 if known_at.is_some_and(|at| call.sent > at + DRAIN_BOUND) {
                     let what = format!("reached {}, which had left", departure.id);
@@ -224,6 +229,38 @@
         }
     }
 
+    /// When each node reached only a part of the services, by its log.
+    fn lost_paths(&self) -> Vec<Vec<Span>> {
+        let (now, unix_now) = (Instant::now(), SystemTime::now());
+        let moment = |line: &Value| {
+            let at = UNIX_EPOCH + Duration::from_millis(line["ms"].as_u64()?);
+            now.checked_sub(unix_now.duration_since(at).ok()?)
+        };
+        let spans = |log: String| {
+            let mut spans: Vec<Span> = Vec::new();
+            for line in log.lines().filter(|line| line.contains("this node reaches changed")) {
+                let Ok(line) = serde_json::from_str::<Value>(line) else { continue };
+                let Some(at) = moment(&line) else { continue };
+                let open = spans.last_mut().filter(|(_, end)| end.is_none());
+                match (open, line["percent"].as_u64() == Some(100)) {
+                    (Some(span), true) => span.1 = Some(at),
+                    (None, false) => spans.push((at, None)),
+                    _ => {}
+                }
+            }
+            spans
+        };
+        self.system.logs().map(spans).collect()
+    }
+
+    /// Whether the node of a call, which had lost a part of its path, may have passed it on to one
+    /// that was out of touch: the bound on departures holds only if that one is in touch, too.
+    fn may_have_been_passed_on(&self, call: &Call, lost_paths: &[Vec<Span>]) -> bool {
+        let had_lost =
+            lost_paths.get(call.node).is_some_and(|spans| overlap(spans, call.sent, call.ended));
+        had_lost && (0..self.nodes.len()).any(|node| !self.in_touch(node, call.sent))
+    }
+
     fn check_turned_away(&self, found: &mut Vec<String>) {
         let by_id: HashMap<&str, &Call> =
             self.calls.iter().map(|call| (call.id.as_str(), call)).collect();
--- a/crates/fakes/examples/soak/main.rs
+++ b/crates/fakes/examples/soak/main.rs
@@ -136,6 +136,11 @@
         "known-keys" => Some(Plant::LostKeys),
         "unknown-keys" => Some(Plant::GrantedKey),
         "quotas" => Some(Plant::LostRates),
+        "overwritten" => Some(Plant::OverwrittenEntries),
+        "removals" => Some(Plant::LostRemovals),
+        "short" => Some(Plant::ShortAnswers),
+        "descriptors" => Some(Plant::ManyServers),
+        "memory" => Some(Plant::EndlessServers),
         other => panic!("no such plant: {other}"),
     }
 }
@@ -241,6 +246,9 @@
         if step.fault == Fault::Flood {
             calls.start_flood(system, seed, step.lasts);
         }
+        if let Fault::Stop { node } = step.fault {
+            calls.start_late(system, node, seed).await;
+        }
         running.push(tokio::spawn(Arc::clone(system).disturb(step)));
         // A change often falls into the fault.
         if step.number % 2 == 0 {
--- a/crates/fakes/examples/soak/schedule.rs
+++ b/crates/fakes/examples/soak/schedule.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::system::FOREIGN_CONTENTS;
 use crate::system::SERVICES;
 use crate::system::ZONES;
 use fakes::instance;
@@ -38,6 +39,13 @@
 /// How long a customer sends many times its quota, in milliseconds: longer than the window.
 const FLOOD_MS: Range<u64> = 6000..9000;
 
+/// Distinguishes the seed of the steps with another writer, removals and cut answers.
+const REVIEW_SEED: u64 = 0x7265_7669_6577;
+/// How many of each of these a run has.
+const REVIEW_STEPS: Range<usize> = 1..4;
+/// The number of bytes after which answers are cut: in their heads and bodies.
+const CUT_BYTES: Range<usize> = 1..420;
+
 /// What is done to the system.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -84,6 +92,12 @@
     Evacuate { zone: usize },
     /// A customer sends many times its quota, at any node.
     Flood,
+    /// Another writer puts an entry that can't be read among those of the servers.
+    Foreign { content: usize },
+    /// The entry of a server is removed while a node is stopped by a signal.
+    Remove { server: usize, node: usize },
+    /// The answers of a server are cut after so many bytes.
+    Cut { server: usize, bytes: usize },
 }
 
 /// A fault, when it starts and how long it lasts.
@@ -138,6 +152,20 @@
         let lasts = Duration::from_millis(rng.random_range(lasts));
         steps.push(Step { number: steps.len(), at, lasts, fault });
     }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ REVIEW_SEED);
+    for kind in 0..3 {
+        for _ in 0..rng.random_range(REVIEW_STEPS) {
+            let at = length.mul_f64(rng.random_range(0.0..1.0));
+            let lasts = Duration::from_millis(rng.random_range(300..4000));
+            let server = rng.random_range(0..servers);
+            let fault = match kind {
+                0 => Fault::Foreign { content: rng.random_range(0..FOREIGN_CONTENTS) },
+                1 => Fault::Remove { server, node: rng.random_range(0..nodes) },
+                _ => Fault::Cut { server, bytes: rng.random_range(CUT_BYTES) },
+            };
+            steps.push(Step { number: steps.len(), at, lasts, fault });
+        }
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
--- a/crates/fakes/src/link.rs
+++ b/crates/fakes/src/link.rs
@@ -26,6 +26,8 @@
     OneWay,
     /// Resets connections.
     Reset,
+    /// Passes on so many bytes of an answer and closes its connection.
+    Cut(usize),
 }
 
 /// A proxy in front of one address.
@@ -123,12 +125,17 @@
         let passes = |mode: &Mode| match mode {
             Mode::Silent => false,
             Mode::OneWay => !is_answer,
-            Mode::Open | Mode::Delayed(_) | Mode::Reset => true,
+            Mode::Open | Mode::Delayed(_) | Mode::Reset | Mode::Cut(_) => true,
         };
         let Ok(now) = mode.wait_for(passes).await.map(|mode| *mode) else { return };
         if let Mode::Delayed(time) = now {
             tokio::time::sleep(time).await;
         }
+        if let (Mode::Cut(bytes), true) = (now, is_answer) {
+            // The connection ends whether or not these arrive.
+            let _ = to.write_all(&buffer[..length.min(bytes)]).await;
+            return;
+        }
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
