--- a/crates/fakes/examples/soak/system.rs
+++ b/crates/fakes/examples/soak/system.rs
@@ -814,6 +814,7 @@
         self.store.set_behavior(store::Behavior::Unavailable);
         sleep(away.min(Duration::from_millis(800))).await;
         self.store.restore(&backup);
+        let returned = Instant::now();
         let newest = self.newest_version();
         {
             let mut versions = self.versions.lock();
@@ -830,7 +831,7 @@
         sleep(REWRITE / 3).await;
         self.servers.lock().iter().for_each(|server| self.register(server));
         self.departing.lock().iter().for_each(|server| self.register(server));
-        sleep(ENTRY_LIFETIME).await;
+        sleep(ENTRY_LIFETIME.saturating_sub(returned.elapsed())).await;
         for name in self.store.names("servers") {
             if !self.is_alive(&name) {
                 self.store.delete("servers", &name);
--- a/crates/process/entry/src/delays.rs
+++ b/crates/process/entry/src/delays.rs
@@ -1,4 +1,5 @@
-//! The longest delays from a change in the registry to its effect on a node, and of a start, each as the sum of the waits that one chain of calls consists of. No I/O.
+//! The longest delays from a change in the registry to its effect on a node, and of a start, each
+//! as the sum of the waits that one chain of calls consists of. No I/O.
 //!
 //! Invariant: each bound that the settings state is checked here against the sum of all waits
 //! that must keep to it. A wait that is added to a chain is added to its sum.
