lost_path: the other servers drain before the cutting one is registered

Hypotheses: a cut answer counts as whole (then the stamp is that of the cutting server), or a second attempt runs at another server that is still in use (then it is that one's). The test now prints the stamp. Cause: the second one. The test registered the cutting server first and drained the others after it, so a node could use the new server while it still knew the others as ready; an idempotent request whose first attempt was cut was repeated there, as it may be. Change: the others drain first; the registry's changes come in order. The check is unchanged.

--- a/crates/process/node/tests/lost_path.rs
+++ b/crates/process/node/tests/lost_path.rs
@@ -253,10 +253,12 @@
     pair.wait_until_out_of_lookups().await;
     let records = [record(1, 1), record(101, 2)].concat();
     let server = cutting::Server::start("cut-0", "plain", &records).await.expect("a server");
-    pair.cluster.store.put("servers", server.id(), &server.entry());
+    // Before the new entry: a node that uses the server knows that the others are draining, and
+    // doesn't repeat a cut attempt there.
     for other in pair.cluster.servers_of("plain") {
         pair.cluster.store.put("servers", &other.id, &other.entry("draining"));
     }
+    pair.cluster.store.put("servers", server.id(), &server.entry());
     eventually("the server is used", async || {
         pair.near.send(request("first", "GET", "/view/x", "")).await;
         !server.runs().is_empty()
@@ -268,7 +270,8 @@
             let path = format!("/view/{}/closed/{length}", framing.name());
             let id = format!("p-{}-{length:03}", framing.name());
             let answer = pair.far.send(request(&id, "GET", &path, "")).await;
-            assert_ne!(answer.status(), 200, "{path}: {} bytes", answer.body().len());
+            let stamp = header(&answer, "heatherseam-server-stamp");
+            assert_ne!(answer.status(), 200, "{path}: {} bytes of {stamp}", answer.body().len());
             assert!(server.runs().contains(&id), "{path} was not passed on");
             pair.near.send(request("whole", "GET", "/view/x", "")).await;
         }
