stop, serve, forward: an answer that is ready at the end of a stop is sent

What callers saw: in a planned stop, an answer that was ready at the moment in which all requests must end could be replaced by 504, which says that the request may have run. Cause: the answer and the end were awaited by a select that polls in random order. Evidence: stop_schedule, red with the random order. Change: Stop::limit_run polls the request first, for its body and for its answer. The log line of a request of another node that is not taken over has both versions again. Result: stop_schedule passes.

--- a/crates/process/entry/src/forward.rs
+++ b/crates/process/entry/src/forward.rs
@@ -109,18 +109,19 @@
 ) -> Answer {
     request.headers_mut().remove(FORWARDED);
     if process.leaving.get() {
-        return not_taken("this node stops");
+        log::info!(target: "request", "A request of another node was not taken over: this node stops.");
+        return not_taken();
     }
     let own = process.router.borrow().as_ref().map(|router| router.version);
     if own < Some(version) {
-        return not_taken("this node's configuration is older than the sender's");
+        log::info!(target: "request", version = own, needed = version; "A request of another node was not taken over: this node's configuration is older than the sender's.");
+        return not_taken();
     }
     serve::handle_forwarded(process, request).await
 }
 
 /// Refuses a request that another node has passed on; that node may try a further one.
-fn not_taken(reason: &str) -> Answer {
-    log::info!(target: "request", reason; "A request of another node was not taken over.");
+fn not_taken() -> Answer {
     let mut answer = serve::refusal();
     answer.headers_mut().insert(NOT_TAKEN, HeaderValue::from_static("1"));
     answer
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -101,11 +101,11 @@
     let router = process.router.borrow().clone();
     let read_result = match router {
         Some(_) if process.stop.is_too_late(arrived) => Err(Rejection::Stopping.into()),
-        Some(router) => tokio::select! {
-            result =
-                read::read(&process, &router, &request_headers, caller_timeout, request) => result,
-            () = process.stop.due() => Err(Rejection::Stopping.into()),
-        },
+        Some(router) => {
+            let result = read::read(&process, &router, &request_headers, caller_timeout, request);
+            let result = process.stop.limit_run(result).await;
+            result.unwrap_or_else(|| Err(Rejection::Stopping.into()))
+        }
         None => Err(Rejection::NoConfig.into()),
     };
     let AdmittedRequest { router, route, id, customer, parts, body } = match read_result {
@@ -146,10 +146,9 @@
         was_passed_on: Cell::new(false),
         identity: OnceCell::new(),
     });
-    tokio::select! {
-        answer = run(&process, &router, &route, Rc::clone(&caller_request), arrived) => answer,
-        () = process.stop.due() => end_for_stop(&caller_request),
-    }
+    let answer = run(&process, &router, &route, Rc::clone(&caller_request), arrived);
+    let answer = process.stop.limit_run(answer).await;
+    answer.unwrap_or_else(|| end_for_stop(&caller_request))
 }
 
 /// Answers a request that is still in progress when this node has to stop.
--- a/crates/process/entry/src/stop.rs
+++ b/crates/process/entry/src/stop.rs
@@ -44,7 +44,7 @@
 
 /// The stop of this process.
 #[derive(Debug, Default)]
-pub(crate) struct Stop {
+pub struct Stop {
     /// From when on no requests are taken; `None` before the stop.
     closes_at: Cell<Option<Time>>,
     /// Until when all requests must have their answers.
@@ -71,16 +71,26 @@
     }
 
     /// Makes all requests that are in progress end with an answer.
-    pub(crate) fn end_requests(&self) {
+    pub fn end_requests(&self) {
         self.is_due.set(true);
         self.due.notify_waiters();
     }
 
     /// Waits until requests must end.
-    pub(crate) async fn due(&self) {
+    async fn due(&self) {
         let due = self.due.notified();
         if !self.is_due.get() {
             due.await;
         }
     }
+
+    /// The output of `request`, or `None` if it must end first. An output that is ready when the
+    /// request must end is returned.
+    pub async fn limit_run<T>(&self, request: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            output = request => Some(output),
+            () = self.due() => None,
+        }
+    }
 }
