timeouts, serve: the usual timeout of a route is not set by one caller

What callers saw: after one search with a deadline of 600 s, all others of its route were answered without slower shards, far within their objective, until the node was started again. Cause: the longest timeout ever seen counted as that of a first attempt, so all others counted as late retries. Change: entry::timeouts takes the longest timeout that at least a quarter of the last 256 requests have, and two at least. Why this works: callers repeat a request three times at most, so a quarter of the requests are first attempts even under overload, and fewer callers than that don't move it.

--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod shares;
 pub mod source;
 pub mod stop;
+pub mod timeouts;
 pub mod unreadable;
 pub mod usage;
 
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -39,6 +39,7 @@
 use crate::source::Selector;
 use crate::source::Source;
 use crate::stop::Stop;
+use crate::timeouts;
 use crate::unreadable;
 use crate::upstream::Pool;
 use crate::usage;
@@ -393,8 +394,8 @@
 pub(crate) struct RouteStats {
     /// The service time at a server.
     pub(crate) service_time: Estimator,
-    /// The longest timeout that a caller sent, assumed to be that of a first attempt.
-    pub(crate) max_timeout: Duration,
+    /// The timeouts that callers sent.
+    pub(crate) timeouts: timeouts::Recent,
 }
 
 /// The statistics of each route, by its name.
@@ -411,9 +412,11 @@
         objective: Duration,
     ) -> Rc<RefCell<RouteStats>> {
         let insert = || {
-            let stats =
-                RouteStats { service_time: Estimator::new(objective), max_timeout: Duration::ZERO };
-            Rc::new(RefCell::new(stats))
+            let service_time = Estimator::new(objective);
+            Rc::new(RefCell::new(RouteStats {
+                service_time,
+                timeouts: timeouts::Recent::default(),
+            }))
         };
         Rc::clone(self.stats.entry(Arc::clone(route)).or_insert_with(insert))
     }
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -272,7 +272,7 @@
     stats: &RefCell<RouteStats>,
 ) -> Plan {
     let mut stats = stats.borrow_mut();
-    stats.max_timeout = stats.max_timeout.max(caller_timeout);
+    stats.timeouts.add(caller_timeout);
     let usual_service_time = stats.service_time.mean();
     let random = process.table.borrow_mut().random_fraction();
     let services = route.fanout.services(random);
@@ -284,9 +284,10 @@
     let own_work = SEND_COST * services.len() as u32 * 1000 / capacity;
     let time_limit = caller_timeout.min(route.timeout).saturating_sub(DEADLINE_MARGIN);
     // Callers are assumed to use one timeout per route and to shorten it in a retry by the
-    // time since their first attempt. The longest timeout seen on the route is then that of
-    // a first attempt, and the difference is the part of the objective that has elapsed.
-    let elapsed_before = stats.max_timeout.saturating_sub(caller_timeout).min(route.objective);
+    // time since their first attempt. The difference to the usual timeout is then the part of the
+    // objective that has elapsed.
+    let usual_timeout = stats.timeouts.usual().unwrap_or(caller_timeout);
+    let elapsed_before = usual_timeout.saturating_sub(caller_timeout).min(route.objective);
     let left = route
         .objective
         .saturating_sub(elapsed_before + CALLER_NETWORK_TIME * 2 + ANSWER_PROCESSING_TIME);
