replica, watcher, path: only servers of services that the configuration names get connections

Cause: a serving node opened a connection to each server in use, whatever its service; a standby node proved its path by servers of any service. Evidence: foreign_writer::servers_that_the_configuration_does_not_name_get_no_connections, red before: a connection was opened to such a server. Change: replica::Table::named_servers; connections are opened to these alone, and a version that names more services opens theirs.

--- a/crates/fakes/examples/soak/system.rs
+++ b/crates/fakes/examples/soak/system.rs
@@ -130,12 +130,14 @@
     LostRemovals,
     /// A server whose answers lack their second half, framed as whole.
     ShortAnswers,
-    /// The other writer registers hundreds of servers of other services.
+    /// The other writer registers hundreds of servers of a service that the configuration names.
     ManyServers,
     /// The other writer registers servers without number.
     EndlessServers,
 }
 
+/// A service that the configuration names without a route to it.
+const UNUSED: &str = "unused";
 /// The number of contents of the other writer's entries.
 pub const FOREIGN_CONTENTS: usize = 8;
 /// The servers that it registers, if that is planted.
@@ -336,8 +338,8 @@
         let route = base(&format!("v{number}"), format!("/v-{number}/"), "idempotent");
         routes.push(to(route, "service", json!("plain")));
     }
-    let services: Vec<Value> =
-        SERVICES.iter().map(|(name, _)| json!({ "name": name, "max_conns": 60 })).collect();
+    let names = SERVICES.iter().map(|(name, _)| *name).chain([UNUSED]);
+    let services: Vec<Value> = names.map(|name| json!({ "name": name, "max_conns": 60 })).collect();
     json!({ "version": version, "routes": routes, "services": services,
             "tenants": tenants,
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 1000,
@@ -719,20 +721,22 @@
                     self.store.put_raw("servers", &server.instance.id, &bytes);
                 }
             }
-            Some(Plant::ManyServers) => self.register_others(MANY_SERVERS),
-            Some(Plant::EndlessServers) => self.register_others(ENDLESS_SERVERS),
+            Some(Plant::ManyServers) => self.register_others(MANY_SERVERS, |_| UNUSED.to_owned()),
+            Some(Plant::EndlessServers) => self.register_others(ENDLESS_SERVERS, |number| {
+                format!("other-{number}-{}", "x".repeat(200))
+            }),
             _ => {}
         }
         sleep(length).await;
         self.store.delete("servers", name);
     }
 
-    /// Registers servers of services that no route names, at addresses that accept connections.
-    fn register_others(&self, count: usize) {
+    /// Registers servers of the services that `service` names, at addresses that accept connections.
+    fn register_others(&self, count: usize, service: impl Fn(usize) -> String) {
         let servers = self.servers.lock();
         for (number, server) in servers.iter().cycle().take(count).enumerate() {
             let mut entry = server.instance.entry("ready");
-            entry["service"] = json!(format!("other-{number}-{}", "x".repeat(200)));
+            entry["service"] = json!(service(number));
             entry["address"] = json!(server.link.address.to_string());
             self.store.put("servers", &format!("other-{number}"), &entry);
         }
--- a/crates/process/entry/src/path.rs
+++ b/crates/process/entry/src/path.rs
@@ -105,7 +105,7 @@
     }
     let mut table = process.table.borrow_mut();
     let servers: Vec<Server> =
-        table.servers_in_use().filter(|server| !table.record(*server).evacuated).collect();
+        table.named_servers().filter(|server| !table.record(*server).evacuated).collect();
     trials.proof_servers.clear();
     for _ in 0..PROOF_SERVERS.min(servers.len()) {
         let index = (table.random_fraction() * servers.len() as f64) as usize;
--- a/crates/process/entry/src/watcher.rs
+++ b/crates/process/entry/src/watcher.rs
@@ -420,8 +420,10 @@
     let router = {
         let now = process.clock.now();
         let mut table = process.table.borrow_mut();
+        let mut named = Vec::new();
         for service in &config.services {
             let service_id = table.intern_service(&service.name);
+            named.push(service_id);
             table.set_connection_limit(service_id, service.connections);
             if process.settings.warmup.is_some() {
                 let (time, per_second) = (service.warmup, service.warmup_per_second);
@@ -429,7 +431,13 @@
             }
         }
         let regions = table.regions().clone();
-        Router::new(config, &regions, |name| table.intern_service(name))
+        let router = Router::new(config, &regions, |name| {
+            let service = table.intern_service(name);
+            named.push(service);
+            service
+        });
+        table.set_named_services(named);
+        router
     };
     log::info!(target: "config", version = config.version, before = current, routes = config.routes.len(); "A new version of the configuration is in use.");
     process.metrics.record_config_version(config.version);
@@ -490,7 +498,7 @@
 }
 
 /// Recomputes this node's share of each server's connections and of the budget of extra
-/// sends. A serving node opens a connection to each server.
+/// sends. A serving node opens a connection to each server that the configuration names.
 pub(crate) fn update_shares(process: &Process) {
     let shares = current_shares(process);
     let before = process.shares.replace(shares);
@@ -500,7 +508,7 @@
     let now = process.clock.now();
     process.budget.borrow_mut().set_share(now, shares.slack_fraction());
     let table = process.table.borrow();
-    for server in table.servers_in_use() {
+    for server in table.named_servers() {
         let record = table.record(server);
         let limit = table.connection_limit(server);
         process.pool.set_server(
--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -303,6 +303,12 @@
         kb.expect("a number") / 1024
     }
 
+    /// The number of its open descriptors.
+    pub fn descriptors(&self) -> usize {
+        let id = self.child.id().expect("the process runs");
+        std::fs::read_dir(format!("/proc/{id}/fd")).expect("its descriptors").count()
+    }
+
     /// Sends it SIGTERM.
     pub async fn terminate(&self) {
         self.signal("-TERM").await;
--- a/crates/process/node/tests/foreign_writer.rs
+++ b/crates/process/node/tests/foreign_writer.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use crate::deployed::Cluster;
@@ -124,3 +126,40 @@
     follow_replacement(&cluster, &node).await;
     assert!(node.peak_memory_mb() < MEMORY_MB);
 }
+
+/// Guards against a node that runs out of descriptors by the servers of services that its
+/// configuration does not name, or that takes one of these for its path.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_the_configuration_does_not_name_get_no_connections() {
+    const OTHERS: usize = 300;
+    let (cluster, node) = start().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let before = node.descriptors();
+    for number in 0..OTHERS {
+        let mut entry = cluster.servers[0].entry("ready");
+        entry["service"] = json!(format!("other-{number}"));
+        entry["address"] = json!(address);
+        cluster.store.put("servers", &format!("other-{number}"), &entry);
+    }
+    follow_replacement(&cluster, &node).await;
+    let started = cluster.start_node();
+    started.wait_until_ready().await;
+    let accepted = is_connected_to(&listener).await;
+    assert!(!accepted, "a connection was opened to a server of another service");
+    for node in [&node, &started] {
+        let more = node.descriptors().saturating_sub(before);
+        assert!(more < OTHERS / 10, "{more} more descriptors");
+    }
+    // A version that names one of them.
+    let mut spec = deployed::config(4, json!([]));
+    let services = spec["services"].as_array_mut().expect("services");
+    services.push(json!({ "name": "other-7", "max_conns": 25 }));
+    cluster.store.put("config", "main", &spec);
+    assert!(is_connected_to(&listener).await, "no connection to a server that is named");
+}
+
+/// Whether a connection to `listener` is opened within a second.
+async fn is_connected_to(listener: &TcpListener) -> bool {
+    tokio::time::timeout(Duration::from_secs(1), listener.accept()).await.is_ok()
+}
--- a/crates/version/replica/src/table.rs
+++ b/crates/version/replica/src/table.rs
@@ -162,6 +162,8 @@
     services_by_name: HashMap<Arc<str>, Service>,
     servers_by_service: PrimaryMap<Service, Vec<Server>>,
     connection_limits: SecondaryMap<Service, u32>,
+    /// Whether the configuration names a service.
+    named_services: SecondaryMap<Service, bool>,
     warmups: SecondaryMap<Service, Warmup>,
     by_key: HashMap<u32, Server>,
     /// The evacuated data centres.
@@ -183,6 +185,7 @@
             services_by_name: HashMap::new(),
             servers_by_service: PrimaryMap::new(),
             connection_limits: SecondaryMap::new(),
+            named_services: SecondaryMap::new(),
             warmups: SecondaryMap::new(),
             by_key: HashMap::new(),
             evacuated: HashSet::new(),
@@ -245,6 +248,18 @@
         self.by_incarnation.values().copied().filter(|server| self.servers[*server].in_use)
     }
 
+    /// Sets the services that the configuration names.
+    pub fn set_named_services(&mut self, services: impl IntoIterator<Item = Service>) {
+        self.named_services.clear();
+        services.into_iter().for_each(|service| self.named_services[service] = true);
+    }
+
+    /// The servers that may get requests by the configuration: those of other services are not
+    /// connected to, however many the registry has.
+    pub fn named_servers(&self) -> impl Iterator<Item = Server> {
+        self.servers_in_use().filter(|server| self.named_services[self.servers[*server].service])
+    }
+
     /// A random number from 0 to 1.
     pub fn random_fraction(&mut self) -> f64 {
         self.rng.random()
