losses, breaks, poison: a search in progress while the path is lost is not blocked

What callers saw: a node that lost its path to the servers while a search was in progress took it for one that ends servers. It was refused at all nodes for up to 5 s, and the node stayed in lookups. Cause: connections that break and new ones that are refused are what an ended server looks like; that the other servers' idle connections broke in the same moment was not looked at. Change: entry::losses counts the servers whose idle connections break together. If these are three quarters of those that run nothing, no server counts as ended, and the ends found within 0.2 s before are withdrawn, here and by notices at other nodes.

--- a/crates/connection/pool/src/server.rs
+++ b/crates/connection/pool/src/server.rs
@@ -182,6 +182,11 @@
         Some(id)
     }
 
+    /// The state of a connection; `None` once it is removed.
+    pub fn state(&self, id: ConnectionId) -> Option<State> {
+        self.states.get(&id).copied()
+    }
+
     /// Whether the connection is being opened or carries a request.
     pub fn is_in_use(&self, id: ConnectionId) -> bool {
         matches!(self.states.get(&id), Some(State::Connecting | State::Busy))
--- a/crates/process/entry/src/breaks.rs
+++ b/crates/process/entry/src/breaks.rs
@@ -2,7 +2,8 @@
 //! then no connection to it is open, or nothing comes on them, and new ones are refused or not
 //! accepted. The ledger learns of it, and decides whether the request is still sent.
 //!
-//! A node that has lost its path to the servers can't tell, and takes no server for ended.
+//! A node that has lost its path to the servers can't tell, and takes no server for ended. Ends that
+//! it found just before it lost its path are withdrawn.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::exchange::CallerRequest;
+use crate::losses;
 use crate::process::Process;
 use base::entity::Server;
 use base::time::Time;
@@ -141,7 +143,9 @@
 
 async fn check(process: Rc<Process>, server: Server, sign: Sign) {
     sleep(CLOSING_TIME).await;
-    let has_ended = process.pool.has_ended(server, sign).await && process.has_path();
+    let has_ended = process.pool.has_ended(server, sign).await
+        && process.has_path()
+        && !process.pool.losses().is_path();
     let Some(requests) = process.breaks.borrow_mut().remove(&server) else { return };
     let (now, key) = (process.clock.now(), process.table.borrow().key(server));
     if !has_ended {
@@ -157,6 +161,31 @@
     }
 }
 
+/// Withdraws the ends of servers that this node has found just before it lost its path, for as long
+/// as the process runs.
+pub(crate) async fn watch_losses(process: Rc<Process>) {
+    loop {
+        process.pool.idle_broke().await;
+        if process.ledger.borrow().is_empty() {
+            continue;
+        }
+        // Connections that break together are noticed one after the other.
+        sleep(CLOSING_TIME).await;
+        let losses = process.pool.losses();
+        if !losses.is_path() {
+            continue;
+        }
+        let now = process.clock.now();
+        let changes = process.ledger.borrow_mut().path_lost(now, losses::SPAN);
+        if !changes.is_empty() {
+            log::info!(target: "poison", lost = losses.lost, kept = losses.kept, requests = changes.len(); "Connections to most servers broke together; no request is taken for the cause.");
+        }
+        for (identity, change) in changes {
+            on_change(&process, identity, change);
+        }
+    }
+}
+
 /// Logs a change that this node has seen itself, and tells the other nodes.
 fn on_change(process: &Process, identity: Identity, change: Change) {
     report(process, identity, change);
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fairness;
 pub mod feed;
 pub mod homes;
+pub mod losses;
 pub mod members;
 pub mod message;
 pub mod pace;
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -22,6 +22,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admin;
+use crate::breaks;
 use crate::clock::Clock;
 use crate::delays;
 use crate::era;
@@ -139,6 +140,7 @@
     spawn_local(watcher::expire_servers(Rc::clone(&process)));
     spawn_local(path::watch(Rc::clone(&process)));
     spawn_local(in_flight::watch(Rc::clone(&process)));
+    spawn_local(breaks::watch_losses(Rc::clone(&process)));
     spawn_local(listener::accept(Rc::clone(&process), peers, relay::handle));
     spawn_local(relay::follow(Rc::clone(&process)));
     spawn_local(heartbeat::send(Rc::clone(&process), Rc::clone(&socket)));
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -22,11 +22,13 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::breaks::Sign;
+use crate::losses;
 use crate::process::ByServer;
 use base::entity::Server;
 use base::time::Time;
@@ -151,6 +153,21 @@
     connect_failed: Cell<bool>,
     /// The earliest time of the next connect.
     retry_at: Cell<Time>,
+    /// When a connection last broke that carried no request.
+    idle_broke_at: Cell<Option<Time>>,
+    /// When a connection last broke that carried one.
+    busy_broke_at: Cell<Option<Time>>,
+}
+
+impl Reachability {
+    /// Records that a connection in `state` was closed by the other side.
+    fn broke(&self, now: Time, state: Option<server::State>) {
+        match state {
+            Some(server::State::Idle) => self.idle_broke_at.set(Some(now)),
+            Some(server::State::Busy) => self.busy_broke_at.set(Some(now)),
+            Some(server::State::Connecting | server::State::Closing) | None => {}
+        }
+    }
 }
 
 /// Why a request got no connection.
@@ -167,12 +184,14 @@
 pub struct Pool {
     clock: crate::clock::Clock,
     upstreams: RefCell<ByServer<Option<Upstream>>>,
+    /// Notified when a connection breaks that carried no request.
+    idle_broke: Rc<Notify>,
 }
 
 impl Pool {
     /// A pool without servers.
     pub fn new(clock: crate::clock::Clock) -> Self {
-        Self { clock, upstreams: RefCell::new(ByServer::new()) }
+        Self { clock, upstreams: RefCell::new(ByServer::new()), idle_broke: Rc::default() }
     }
 
     /// Adds a server, or updates this node's share of its connections; `None` if its limit is
@@ -233,7 +252,8 @@
         }
         let reserved = upstream.connections.borrow_mut().start_connect(min_open);
         if let Some(id) = reserved {
-            tokio::task::spawn_local(open(self.clock, Opening::new(upstream, id)));
+            let idle_broke = Rc::clone(&self.idle_broke);
+            tokio::task::spawn_local(open(self.clock, Opening::new(upstream, id), idle_broke));
         }
     }
 
@@ -254,6 +274,33 @@
         upstreams[server].as_ref().is_some_and(|upstream| idle(upstream) > 0)
     }
 
+    /// Waits until a connection breaks that carried no request.
+    pub(crate) async fn idle_broke(&self) {
+        self.idle_broke.notified().await;
+    }
+
+    /// The servers to which all connections broke a moment ago without a request on them, and those
+    /// to which some are open; without those at which a request broke off.
+    pub(crate) fn losses(&self) -> losses::Count {
+        let from = self.clock.now().before(losses::SPAN);
+        let is_recent = |at: &Cell<Option<Time>>| at.get().is_some_and(|at| at >= from);
+        let mut count = losses::Count::default();
+        for upstream in self.upstreams.borrow().values().flatten() {
+            let connections = upstream.connections.borrow();
+            let open =
+                connections.count(server::State::Idle) + connections.count(server::State::Busy);
+            if is_recent(&upstream.reachability.busy_broke_at) {
+                continue;
+            }
+            if open > 0 {
+                count.kept += 1;
+            } else if is_recent(&upstream.reachability.idle_broke_at) {
+                count.lost += 1;
+            }
+        }
+        count
+    }
+
     /// Whether a server has ended: it accepts no connection, and none to it is open unless it is
     /// silent.
     pub(crate) async fn has_ended(&self, server: Server, sign: Sign) -> bool {
@@ -466,7 +513,7 @@
     }
 }
 
-async fn open(clock: crate::clock::Clock, mut opening: Opening) {
+async fn open(clock: crate::clock::Clock, mut opening: Opening, idle_broke: Rc<Notify>) {
     let opened = timeout(CONNECT_TIMEOUT, connect(opening.address)).await;
     let failure = match opened {
         Ok(Ok((sender, connection))) => {
@@ -479,11 +526,15 @@
             let leased = Rc::new(Cell::new(false));
             let was_leased = Rc::clone(&leased);
             let task = tokio::task::spawn_local(async move {
-                let _slot = slot;
                 if let Err(error) = connection.await {
                     log::debug!(target: "upstream", "Connection closed: {error}.");
                 }
                 let now = clock.now();
+                let state = slot.connections.borrow().state(slot.id);
+                reachability.broke(now, state);
+                if state == Some(server::State::Idle) {
+                    idle_broke.notify_one();
+                }
                 if !was_leased.get() && now.since(opened_at) < MIN_CONNECTION_AGE {
                     reachability.connect_failed.set(true);
                     reachability.retry_at.set(now + CONNECT_BACKOFF);
--- a/crates/process/node/tests/lost_path.rs
+++ b/crates/process/node/tests/lost_path.rs
@@ -203,6 +203,30 @@
     assert_eq!(runs.get("left"), None);
 }
 
+/// Guards against a search that is blocked as one that ends servers, since its node lost its path
+/// while it was in progress: other callers' searches are refused then, and the loss is not found.
+#[tokio::test(flavor = "multi_thread")]
+async fn search_in_progress_while_the_path_is_lost_is_not_blocked() {
+    let mut pair = Pair::start().await;
+    let slow = Behavior::Slow(Duration::from_millis(700));
+    pair.cluster.servers.iter().for_each(|server| server.set_behavior(slow));
+    let searches = ["p0", "p1", "p2"].map(|id| {
+        let request = request(id, "GET", "/search/x", "");
+        tokio::spawn(fakes::http::send(pair.far.caller_address, request))
+    });
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    pair.refuse();
+    pair.cluster.servers.iter().for_each(|server| server.set_behavior(Behavior::Healthy));
+    pair.wait_until_out_of_lookups().await;
+    for search in searches {
+        search.await.expect("no panic").expect("an answer");
+    }
+    for node in [&pair.near, &pair.far] {
+        let answer = node.send(request("other", "GET", "/search/x", "")).await;
+        assert_eq!(answer.status(), 200);
+    }
+}
+
 /// Guards against a key that is lost when a request is passed on, so that the other node refuses
 /// it, and against one that reaches a server.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/request/poison/src/ledger.rs
+++ b/crates/request/poison/src/ledger.rs
@@ -233,6 +233,20 @@
         }
     }
 
+    /// Withdraws the ends that this node has found within `span`, since it has lost its path to the
+    /// servers; returns what that changes.
+    pub fn path_lost(&mut self, now: Time, span: Duration) -> Vec<(Identity, Change)> {
+        let mut changes = Vec::new();
+        for (identity, record) in &mut self.records {
+            let was_blocked = record.is_condemned();
+            if record.withdraw(now, span) {
+                changes.push((*identity, Change::Cleared { was_blocked }));
+            }
+        }
+        self.remove_void();
+        changes
+    }
+
     /// Records that a server has run a request and answered it.
     pub fn answered(&mut self, now: Time, identity: Identity) -> Change {
         let Some(record) = self.records.get_mut(&identity) else { return Change::Nothing };
--- a/crates/request/poison/src/record.rs
+++ b/crates/request/poison/src/record.rs
@@ -228,6 +228,21 @@
         self.ends.len() < before
     }
 
+    /// Removes the ends that this node has found within `span`; those that others were told of are
+    /// refuted. Returns whether there were any of these.
+    pub(crate) fn withdraw(&mut self, now: Time, span: Duration) -> bool {
+        // Other nodes' notices name no shards.
+        let is_own = |end: &End| end.shard.is_some() && now.since(end.at) <= span;
+        let told: Vec<u32> =
+            self.proven().filter(|end| is_own(end)).map(|end| end.server).collect();
+        self.remove(is_own);
+        told.iter().for_each(|server| self.add_refuted(*server));
+        if !told.is_empty() {
+            self.changed_at = now;
+        }
+        !told.is_empty()
+    }
+
     /// Whether nothing is known that other nodes would need.
     pub(crate) fn is_void(&self) -> bool {
         self.ends.is_empty() && self.refuted.is_empty() && self.beside.is_empty()
--- a/crates/request/poison/tests/verdicts.rs
+++ b/crates/request/poison/tests/verdicts.rs
@@ -80,6 +80,34 @@
     assert!(matches!(ledger.standing(at(60_000), search), Standing::Blocked { .. }));
 }
 
+/// Guards against a search that is blocked, here and at other nodes, since its node lost its path
+/// while it was in progress.
+#[test]
+fn ends_found_just_before_the_path_is_lost_are_withdrawn() {
+    let (mut here, mut there) = (Ledger::new(0.0), Ledger::new(0.0));
+    let search = request(0);
+    end_all(&mut here, 10, search, 0);
+    for notice in here.notices(at(22), 0) {
+        there.on_notice(at(23), &notice);
+    }
+    let changes = here.path_lost(at(60), Duration::from_millis(200));
+    assert_eq!(changes, [(search, Change::Cleared { was_blocked: true })]);
+    for notice in here.notices(at(62), 0) {
+        there.on_notice(at(63), &notice);
+    }
+    for ledger in [&here, &there] {
+        assert_eq!(ledger.standing(at(64), search), Standing::Clear);
+    }
+}
+
+/// Guards against a request that ends servers and is cleared of all by a path that is lost later.
+#[test]
+fn ends_long_before_the_path_is_lost_stay() {
+    let (mut ledger, poison) = blocking();
+    assert_eq!(ledger.path_lost(at(500), Duration::from_millis(200)), []);
+    assert!(matches!(ledger.standing(at(500), poison), Standing::Blocked { .. }));
+}
+
 /// Guards against a node that takes part in a search that another one has seen end servers.
 #[test]
 fn notice_of_ends_at_one_moment_blocks_at_other_nodes() {
