members, serving: nodes that were replaced cost the others little and delay nobody

What callers would see: after a restart of all nodes beside entries of many replaced ones, nobody serves for minutes; small VMs lose their processor to heartbeats; regions may never hear of each other. Cause: an entry of a node that no longer runs, which nothing removes, was taken for one that may run at any time: it got heartbeats, had its turn to serve, and was the contact of its region. Change: nodes not heard for a minute get heartbeats in turn, 128 with each; the nodes whose turn it is to serve double with each step; eight more nodes of a data centre that is not heard are contacted in turn. The entries stay.

--- a/crates/fakes/examples/foreign.rs
+++ b/crates/fakes/examples/foreign.rs
@@ -1,9 +1,11 @@
 //! What entries of another writer cost a node: the time from a change in the registry to its use,
 //! with and without them, and the memory under large ones.
 //!
-//!     foreign --binary PATH [--entries N] [--rounds N]
+//!     foreign --binary PATH [--entries N] [--rounds N] [--replaced N]
 //!
 //! Prints the medians and their ratio, and the greatest resident memory as a fraction of the limit.
+//! With `--replaced`, what the entries of so many nodes that were replaced cost a node instead: the time
+//! until it serves, its memory, and its processor time without requests.
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -33,6 +35,8 @@
 const BURST_PAUSE: Duration = Duration::from_secs(1);
 /// The address of the node.
 const IP: &str = "127.209.7.1";
+/// The time over which a node without requests is measured.
+const IDLE_TIME: Duration = Duration::from_secs(5);
 /// The pause before a change, so that the last one's delay is over.
 const ROUND_PAUSE: Duration = Duration::from_millis(450);
 
@@ -144,10 +148,43 @@
     println!("memory: {peak} MB at most of {MEMORY_MB} MB, {fraction:.2}");
 }
 
+/// The processor time that a process has used, in hundredths of a second.
+fn processor_time(node: &Child) -> u64 {
+    let id = node.id().expect("the node runs");
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("its times");
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split(' ').collect();
+    fields[12..14].iter().filter_map(|field| field.parse::<u64>().ok()).sum()
+}
+
+async fn measure_replaced(binary: &str, replaced: usize) {
+    for entries in [0, replaced] {
+        let store = Store::start().expect("a store");
+        let server = Instance::start("plain-0", "plain", &[7; 32]).expect("a server");
+        store.put("servers", &server.id, &server.entry("ready"));
+        store.put("config", "main", &config(1));
+        for number in 0..entries {
+            let ip = format!("127.210.{}.{}", number / 250, number % 250 + 1);
+            let spec = json!({ "ip": ip, "address": format!("{ip}:18006"), "zone": "hall", "capacity": 1000 });
+            store.put("heatherseam-nodes", &format!("front-{number}"), &spec);
+        }
+        let node = start_node(binary, &std::env::temp_dir(), &store);
+        let until_served = time_to_use(1).await;
+        sleep(IDLE_TIME).await;
+        let before = processor_time(&node);
+        sleep(IDLE_TIME).await;
+        let used = (processor_time(&node) - before) as f64 / 100.0 / IDLE_TIME.as_secs_f64();
+        println!(
+            "{entries} replaced nodes: serves after {until_served:?}, {} MB, {used:.3} cores",
+            resident_mb(&node)
+        );
+    }
+}
+
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.reqopt("", "binary", "the node's program", "PATH");
     options.optopt("", "entries", "the other writer's entries (2000)", "N");
+    options.optopt("", "replaced", "measures replaced nodes instead", "N");
     options.optopt("", "rounds", "the changes that are measured (30)", "N");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
@@ -161,6 +198,10 @@
     };
     let binary = matches.opt_str("binary").unwrap_or_default();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    runtime.block_on(measure(&binary, number("entries", 2000), number("rounds", 30)));
+    if matches.opt_present("replaced") {
+        runtime.block_on(measure_replaced(&binary, number("replaced", 20_000)));
+    } else {
+        runtime.block_on(measure(&binary, number("entries", 2000), number("rounds", 30)));
+    }
     ExitCode::SUCCESS
 }
--- a/crates/process/entry/src/members.rs
+++ b/crates/process/entry/src/members.rs
@@ -183,9 +183,16 @@
 const STANDBY_INTERVALS: u64 = 25;
 /// Seeds that have not sent a heartbeat are contacted once in so many intervals.
 const SEED_INTERVALS: u64 = 5;
+/// A node that has not been heard for longer may have been replaced: nothing removes its entry.
+/// Standby nodes of other data centres are not heard either.
+const QUIET_TIME: Duration = Duration::from_secs(60);
+/// The maximum number of such nodes that one heartbeat is sent to; successive ones go through all.
+const MAX_QUIET_TARGETS: usize = 128;
 /// The number of nodes of each other data centre that get heartbeats before any of them
 /// is known to serve.
 const FAR_CONTACTS: usize = 3;
+/// The number of further nodes that get one while none is heard.
+const MORE_FAR_CONTACTS: usize = 8;
 /// The maximum number of nodes in [`Heartbeat::known`].
 const MAX_KNOWN: usize = 8;
 /// A gap between two heartbeats above this means that this node was paused, not the
@@ -276,15 +283,23 @@
     pub fn targets(&self, now: Time, number: u64, serving: bool, leaving: bool) -> Vec<IpAddr> {
         let in_region = |peer: &&Peer| self.distance(&peer.data_centre) < Distance::Far;
         let mut targets: Vec<IpAddr> = Vec::new();
-        if serving || leaving || number < ANNOUNCEMENTS {
+        if number < ANNOUNCEMENTS {
             targets.extend(self.peers.values().filter(in_region).map(|peer| peer.ip));
+        } else if serving || leaving {
+            let in_region = self.peers.values().filter(in_region).map(|peer| peer.ip);
+            let (quiet, heard): (Vec<IpAddr>, Vec<IpAddr>) =
+                in_region.partition(|ip| self.is_quiet(now, *ip));
+            targets = heard;
+            let start = (number as usize).wrapping_mul(MAX_QUIET_TARGETS);
+            let count = quiet.len().min(MAX_QUIET_TARGETS);
+            targets.extend((0..count).map(|at| quiet[start.wrapping_add(at) % quiet.len()]));
         } else if number.is_multiple_of(STANDBY_INTERVALS) {
             let own_data_centre =
                 self.serving(now).filter(|m| m.heartbeat.data_centre == self.own.data_centre);
             targets.extend(own_data_centre.map(|member| member.heartbeat.caller_address.ip()));
         }
         if (serving && number.is_multiple_of(u64::from(FAR_INTERVALS))) || leaving {
-            targets.extend(self.far_contacts(now));
+            targets.extend(self.far_contacts(now, number));
         }
         if number.is_multiple_of(SEED_INTERVALS) {
             targets.extend(self.seeds.iter().copied());
@@ -292,8 +307,16 @@
         targets
     }
 
-    /// The serving nodes of other regions, and the first nodes of each data centre there.
-    fn far_contacts(&self, now: Time) -> BTreeSet<IpAddr> {
+    /// Whether the node at `ip` has not been heard for long.
+    fn is_quiet(&self, now: Time, ip: IpAddr) -> bool {
+        let member = self.members.get(&ip);
+        member.is_none_or(|member| now.since(member.received_at) > QUIET_TIME)
+    }
+
+    /// The serving nodes of other regions, and the first nodes of each data centre there. While no
+    /// node of a data centre is heard, heartbeat `number` goes to further ones too: the first may
+    /// all have been replaced.
+    fn far_contacts(&self, now: Time, number: u64) -> BTreeSet<IpAddr> {
         let mut by_data_centre: BTreeMap<&str, Vec<&Peer>> = BTreeMap::new();
         for peer in self.peers.values() {
             if self.distance(&peer.data_centre) == Distance::Far {
@@ -309,6 +332,11 @@
         for peers in by_data_centre.values_mut() {
             peers.sort_by_key(|peer| peer.rank());
             contacts.extend(peers.iter().take(FAR_CONTACTS).map(|peer| peer.ip));
+            if peers.iter().all(|peer| self.is_quiet(now, peer.ip)) {
+                let start = (number / u64::from(FAR_INTERVALS)) as usize * MORE_FAR_CONTACTS;
+                let count = peers.len().min(MORE_FAR_CONTACTS);
+                contacts.extend((0..count).map(|at| peers[(start + at) % peers.len()].ip));
+            }
         }
         contacts
     }
--- a/crates/process/entry/src/serving.rs
+++ b/crates/process/entry/src/serving.rs
@@ -151,9 +151,10 @@
         candidates.sort_by_key(|peer| peer.rank());
         let missing = missing_nodes(present, &candidates, needed);
         let since = *self.shortage_since.get_or_insert(now);
-        let steps = now.since(since).as_millis() / PROMOTION_STEP.as_millis();
+        let steps = (now.since(since).as_millis() / PROMOTION_STEP.as_millis()) as u32;
         let turn = candidates.iter().position(|peer| peer.ip == own.ip).unwrap_or_default();
-        if turn < missing * (steps as usize + 1) {
+        // Doubled at each step: the first in the order may all have been replaced long ago.
+        if turn < missing.saturating_mul(1usize.checked_shl(steps).unwrap_or(usize::MAX)) {
             *self = Self { serving: true, ..Self::default() };
         }
     }
