cut_answers: the cut answer to a hedge is never a success

Change: servers that share fakes::cutting::Hedges answer a request whole and late where it arrives first, and cut it elsewhere, so that a hedge always gets the cut answer.

--- a/crates/fakes/src/cutting.rs
+++ b/crates/fakes/src/cutting.rs
@@ -2,6 +2,7 @@
 //! stated length. The request's path says where: `/…/FRAMING/END/BYTES`, with the names of
 //! [`Framing`] and [`End`]; without these, the answer is whole.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -63,6 +64,34 @@
     }
 }
 
+/// What servers that share it do with a request whose answer would be cut: the first that gets it
+/// answers it whole after a delay, so that it is hedged, and only the others cut their answers.
+#[derive(Debug)]
+pub struct Hedges {
+    delay: Duration,
+    arrivals: Mutex<HashMap<String, usize>>,
+}
+
+impl Hedges {
+    /// The first server answers after `delay`.
+    pub fn new(delay: Duration) -> Self {
+        Self { delay, arrivals: Mutex::default() }
+    }
+
+    /// How often the request `id` has arrived.
+    pub fn arrivals(&self, id: &str) -> usize {
+        self.arrivals.lock().get(id).copied().unwrap_or_default()
+    }
+
+    /// Records that a request arrives; returns whether it is the first time.
+    fn arrives_first(&self, id: &str) -> bool {
+        let mut arrivals = self.arrivals.lock();
+        let count = arrivals.entry(id.to_owned()).or_default();
+        *count += 1;
+        *count == 1
+    }
+}
+
 /// A running server.
 pub struct Server {
     id: String,
@@ -86,6 +115,20 @@
     ///
     /// If no port can be bound.
     pub async fn start(id: &str, service: &str, records: &[u8]) -> io::Result<Self> {
+        Self::start_with(id, service, records, None).await
+    }
+
+    /// Like [`Self::start`]; with `hedges`, only what it gets after another server is cut.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be bound.
+    pub async fn start_with(
+        id: &str,
+        service: &str,
+        records: &[u8],
+        hedges: Option<Arc<Hedges>>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let runs = Arc::new(Mutex::new(Vec::new()));
@@ -93,7 +136,10 @@
         let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (id, records, runs) = (own_id.clone(), records.clone(), Arc::clone(&shared));
-                tokio::spawn(async move { serve(stream, &id, &records, &runs).await });
+                let hedges = hedges.clone();
+                tokio::spawn(async move {
+                    serve(stream, &id, &records, &runs, hedges.as_deref()).await
+                });
             }
         });
         let accepting = accepting.abort_handle();
@@ -149,6 +195,7 @@
     server: &str,
     records: &[u8],
     runs: &Mutex<Vec<String>>,
+    hedges: Option<&Hedges>,
 ) -> io::Result<()> {
     while let Some((path, id)) = read_request(&mut stream).await? {
         runs.lock().push(id.clone());
@@ -164,6 +211,16 @@
             stream.write_all(&bytes).await?;
             continue;
         };
+        if let Some(hedges) = hedges
+            && hedges.arrives_first(&id)
+        {
+            tokio::time::sleep(hedges.delay).await;
+            stream.write_all(&bytes).await?;
+            match framing {
+                Framing::Length | Framing::Chunks => continue,
+                Framing::Close => return Ok(()),
+            }
+        }
         stream.write_all(&bytes[..cut.min(bytes.len())]).await?;
         // What was written reaches the reader before the end does.
         tokio::time::sleep(Duration::from_millis(2)).await;
--- a/crates/process/node/tests/cut_answers.rs
+++ b/crates/process/node/tests/cut_answers.rs
@@ -1,6 +1,9 @@
 //! Servers that end their answers within the head, a chunk or the stated length: no caller gets a
 //! success with less than the whole body, on any way.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use serde_json::json;
 
 use crate::deployed::Cluster;
@@ -12,7 +15,9 @@
 use fakes::cutting;
 use fakes::cutting::End;
 use fakes::cutting::Framing;
+use fakes::cutting::Hedges;
 use fakes::cutting::Server;
+use fakes::wait::eventually;
 
 mod deployed;
 
@@ -94,6 +99,53 @@
     assert!(sent > 600, "only {sent} cut answers were seen");
 }
 
+/// Guards against a hedge whose answer ends early, comes first and is passed on as whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_to_a_hedge_is_never_a_success() {
+    let records = [record(1, 1), record(101, 2)].concat();
+    let (cluster, node, servers) = start(&records).await;
+    let hedges = Arc::new(Hedges::new(Duration::from_millis(60)));
+    let mut pair = Vec::new();
+    for id in ["cut-1", "cut-2"] {
+        let shared = Some(Arc::clone(&hedges));
+        let server = Server::start_with(id, "cut", &records, shared).await.expect("a server");
+        pair.push(server);
+    }
+    cluster.store.put("servers", servers[0].id(), &draining(&servers[0]));
+    pair.iter().for_each(|server| cluster.store.put("servers", server.id(), &server.entry()));
+    for server in &pair {
+        eventually("the servers are used", async || {
+            node.send(request("first", "GET", "/one/x", "")).await;
+            !server.runs().is_empty()
+        })
+        .await;
+    }
+    let cuts = cuts(&records).into_iter().filter(|(.., is_whole)| !is_whole).step_by(5);
+    let (mut sent, mut hedged) = (0, 0);
+    for (number, (framing, end, length, _)) in cuts.enumerate() {
+        let path = format!("/one/{}/{}/{length}", framing.name(), end.name());
+        let id = format!("h-{number:04}");
+        let answer = node.send(request(&id, "GET", &path, "")).await;
+        let shown = format!("{path}: {} with {} bytes", answer.status(), answer.body().len());
+        // The first server's answer is whole.
+        assert!(answer.status() == 200 && answer.body() == &records, "{shown}");
+        sent += 1;
+        hedged += usize::from(hedges.arrivals(&id) == 2);
+        for other in 0..6 {
+            node.send(request(&format!("w-{number}-{other}"), "GET", "/one/x", "")).await;
+        }
+    }
+    assert!(hedged > sent / 2 && sent > 100, "{hedged} of {sent} were hedged");
+}
+
+/// The entry of a server that drains.
+fn draining(server: &Server) -> serde_json::Value {
+    let mut entry = server.entry();
+    entry["state"] = json!("draining");
+    entry["sequence"] = json!(2);
+    entry
+}
+
 /// Guards against a part of a search that ends early and counts as whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn cut_part_of_a_search_is_missing() {
