--- a/crates/process/entry/src/serving.rs
+++ b/crates/process/entry/src/serving.rs
@@ -26,6 +26,8 @@
 const MAX_UTILIZATION: f64 = 0.35;
 /// How long the next nodes in the order have to start to serve.
 const PROMOTION_STEP: Duration = Duration::from_millis(400);
+/// The number of steps after which the number of nodes doubles with each further one.
+const MAX_EVEN_STEPS: u32 = 8;
 /// How long a node that is no longer needed goes on serving.
 const DEMOTION_DELAY: Duration = Duration::from_secs(3);
 
@@ -153,13 +155,19 @@
         let since = *self.shortage_since.get_or_insert(now);
         let steps = (now.since(since).as_millis() / PROMOTION_STEP.as_millis()) as u32;
         let turn = candidates.iter().position(|peer| peer.ip == own.ip).unwrap_or_default();
-        // Doubled at each step: the first in the order may all have been replaced long ago.
-        if turn < missing.saturating_mul(1usize.checked_shl(steps).unwrap_or(usize::MAX)) {
+        if turn < missing.saturating_mul(turns(steps)) {
             *self = Self { serving: true, ..Self::default() };
         }
     }
 }
 
+/// How many times as many nodes as are missing have had their turn after so many steps.
+fn turns(steps: u32) -> usize {
+    // The first in the order may all have been replaced long ago.
+    let doublings = steps.saturating_sub(MAX_EVEN_STEPS);
+    (steps as usize + 1).saturating_mul(1usize.checked_shl(doublings).unwrap_or(usize::MAX))
+}
+
 fn supply(capacities: impl Iterator<Item = u32>) -> Supply {
     capacities.fold(Supply::default(), Supply::with)
 }
