--- a/crates/fakes/src/doubling.rs
+++ b/crates/fakes/src/doubling.rs
@@ -10,12 +10,13 @@
 use parking_lot::Mutex;
 use serde_json::Value;
 use serde_json::json;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::http;
+
 /// How long it runs a request.
 const RUN_TIME: Duration = Duration::from_millis(50);
 
@@ -112,15 +113,7 @@
 
 /// Reads a request without a body; returns its id, or `None` at the end of the connection.
 async fn read_request(stream: &mut TcpStream) -> io::Result<Option<String>> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        if stream.read(&mut byte).await? == 0 {
-            return Ok(None);
-        }
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let Some(head) = http::read_head(stream).await? else { return Ok(None) };
     let id = head.lines().find_map(|line| line.strip_prefix("heatherseam-request-id: "));
     Ok(Some(id.unwrap_or_default().to_owned()))
 }
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -24,6 +24,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -56,6 +57,20 @@
     reply
 }
 
+/// Reads the head of a request without a body, byte by byte, so that nothing of the next one is lost;
+/// returns it in lower case, or `None` at the end of the connection.
+pub(crate) async fn read_head(stream: &mut TcpStream) -> io::Result<Option<String>> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).await? == 0 {
+            return Ok(None);
+        }
+        head.push(byte[0]);
+    }
+    Ok(Some(String::from_utf8_lossy(&head).to_lowercase()))
+}
+
 /// Reads a whole body.
 ///
 /// # Errors
