--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -103,7 +103,7 @@
         Some(_) if process.stop.is_too_late(arrived) => Err(Rejection::Stopping.into()),
         Some(router) => {
             let result = read::read(&process, &router, &request_headers, caller_timeout, request);
-            let result = process.stop.limit_run(result).await;
+            let result = process.stop.run_until_due(result).await;
             result.unwrap_or_else(|| Err(Rejection::Stopping.into()))
         }
         None => Err(Rejection::NoConfig.into()),
@@ -147,7 +147,7 @@
         identity: OnceCell::new(),
     });
     let answer = run(&process, &router, &route, Rc::clone(&caller_request), arrived);
-    let answer = process.stop.limit_run(answer).await;
+    let answer = process.stop.run_until_due(answer).await;
     answer.unwrap_or_else(|| end_for_stop(&caller_request))
 }
 
--- a/crates/process/entry/src/stop.rs
+++ b/crates/process/entry/src/stop.rs
@@ -86,7 +86,7 @@
 
     /// The output of `request`, or `None` if it must end first. An output that is ready when the
     /// request must end is returned.
-    pub async fn limit_run<T>(&self, request: impl Future<Output = T>) -> Option<T> {
+    pub async fn run_until_due<T>(&self, request: impl Future<Output = T>) -> Option<T> {
         tokio::select! {
             biased;
             output = request => Some(output),
--- a/crates/process/entry/tests/stop_schedule.rs
+++ b/crates/process/entry/tests/stop_schedule.rs
@@ -11,7 +11,7 @@
     let stop = Stop::default();
     stop.end_requests();
     for _ in 0..64 {
-        assert_eq!(stop.limit_run(future::ready("answer")).await, Some("answer"));
+        assert_eq!(stop.run_until_due(future::ready("answer")).await, Some("answer"));
     }
 }
 
@@ -19,9 +19,9 @@
 #[tokio::test]
 async fn request_without_an_answer_ends_with_the_stop() {
     let stop = Stop::default();
-    let (ended, ()) = tokio::join!(stop.limit_run(future::pending::<()>()), async {
+    let (ended, ()) = tokio::join!(stop.run_until_due(future::pending::<()>()), async {
         stop.end_requests();
     });
     assert_eq!(ended, None);
-    assert_eq!(stop.limit_run(future::pending::<()>()).await, None);
+    assert_eq!(stop.run_until_due(future::pending::<()>()).await, None);
 }
