conf: fields of any depth in the settings end no process

What callers would see: after the platform had added a field that is nested some thousands deep, every node ends by itself at its next reload, and none starts. Cause: the library's loader recurses for each level, and so does the removal of a tree. Change: conf::tree reads the parser's events one by one; what lies over 100 deep counts as empty.

--- a/crates/version/conf/src/tree.rs
+++ b/crates/version/conf/src/tree.rs
@@ -1,7 +1,8 @@
 //! Loads any YAML into nodes with their positions, for files whose writer is not ours: anchors and
 //! aliases are resolved, tags are ignored, and entries with keys that are no text are left out.
 //!
-//! Invariant: a tree has at most [`MAX_NODES`] nodes, however often aliases repeat a value.
+//! Invariant: a tree has at most [`MAX_NODES`] nodes, however often aliases repeat a value, and no
+//! step recurses as deep as the text is nested.
 
 use std::collections::HashMap;
 
@@ -12,7 +13,6 @@
 use marked_yaml::types::MarkedScalarNode;
 use marked_yaml::types::MarkedSequenceNode;
 use yaml_rust2::Event;
-use yaml_rust2::parser::MarkedEventReceiver;
 use yaml_rust2::parser::Parser;
 use yaml_rust2::scanner;
 
@@ -22,6 +22,9 @@
 
 /// The maximum number of nodes of a tree.
 pub const MAX_NODES: usize = 100_000;
+/// The number of lists and mappings within each other that are kept; an empty text stands for a
+/// deeper one.
+const MAX_DEPTH: usize = 100;
 
 /// A document.
 #[derive(Clone, Debug)]
@@ -44,10 +47,18 @@
 /// Loads the first document of a text; the error says why it is not YAML.
 pub fn load(text: &str) -> Result<Tree, Finding> {
     let mut loader = Loader::default();
-    if let Err(error) = Parser::new_from_str(text).load(&mut loader, false) {
-        let marker = marker(*error.marker());
-        let span = Span { line: marker.line(), column: marker.column(), length: 1 };
-        return Err(Finding { span, message: format!("not YAML: {}", error.info()) });
+    let mut parser = Parser::new_from_str(text);
+    // Not `Parser::load`, which recurses.
+    loop {
+        match parser.next_token() {
+            Ok((Event::DocumentEnd | Event::StreamEnd, _)) => break,
+            Ok((event, mark)) => loader.on_event(event, mark),
+            Err(error) => {
+                let marker = marker(*error.marker());
+                let span = Span { line: marker.line(), column: marker.column(), length: 1 };
+                return Err(Finding { span, message: format!("not YAML: {}", error.info()) });
+            }
+        }
     }
     if let Some(marker) = loader.too_large_at {
         let span = Span { line: marker.line(), column: marker.column(), length: 1 };
@@ -74,6 +85,8 @@
 struct Loader {
     root: Option<Node>,
     open: Vec<Open>,
+    /// The number of open lists and mappings that are not kept.
+    skipped: usize,
     /// The values with anchors, and the number of their nodes.
     anchors: HashMap<usize, (Node, usize)>,
     nodes: usize,
@@ -81,13 +94,24 @@
     duplicates: Vec<Duplicate>,
 }
 
-impl MarkedEventReceiver for Loader {
+impl Loader {
     fn on_event(&mut self, event: Event, mark: scanner::Marker) {
         let mark = marker(mark);
         if self.too_large_at.is_some() {
             return;
         }
         match event {
+            Event::MappingStart(..) | Event::SequenceStart(..) if self.open.len() >= MAX_DEPTH => {
+                self.skipped += 1;
+            }
+            Event::MappingEnd | Event::SequenceEnd if self.skipped > 0 => {
+                self.skipped -= 1;
+                if self.skipped == 0 {
+                    let empty = MarkedScalarNode::new_empty(NodeSpan::new_start(mark));
+                    self.add(Node::from(empty), 0, 1, mark);
+                }
+            }
+            _ if self.skipped > 0 => {}
             Event::MappingStart(anchor, _) => {
                 let map = MarkedMappingNode::new_empty(NodeSpan::new_start(mark));
                 self.open.push(Open::Mapping { map, anchor, key: None });
@@ -123,9 +147,7 @@
             | Event::DocumentEnd => {}
         }
     }
-}
 
-impl Loader {
     /// Adds a value of `nodes` further nodes to what is open.
     fn add(&mut self, node: Node, anchor: usize, nodes: usize, mark: Marker) {
         self.nodes += nodes;
