--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -250,7 +250,8 @@
         let (objects, changed) = &*self.shared;
         let mut objects = objects.lock().unwrap();
         if since == 0 {
-            let of_kind = objects.current.iter().filter(|((object_kind, _), _)| object_kind == kind);
+            let of_kind =
+                objects.current.iter().filter(|((object_kind, _), _)| object_kind == kind);
             let items: Vec<&str> = of_kind.map(|(_, object)| object.as_str()).collect();
             let (items, as_of) = (items.join(","), objects.revision);
             return format!("{{\"items\":[{items}],\"more\":false,\"as_of\":{as_of}}}");
