--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -1,9 +1,9 @@
 //! A server that is full refuses a request that must not run twice, and accepts its next attempt.
 //! A late second copy of the refusal arrives while that attempt runs.
 
-#[path = "../standins-2/kit.rs"]
+#[path = "../harness-2.rs"]
 mod kit;
-#[path = "../standins-2/server.rs"]
+#[path = "server.rs"]
 mod server;
 
 use std::collections::HashMap;
--- a/review/standins-2/server.rs
+++ b/review/6/server.rs
@@ -95,9 +95,8 @@
         let mut refusals: HashMap<String, Vec<u8>> = HashMap::new();
         while let Some(request) = kit::read_message(&mut reader)? {
             let id = request.header("heatherseam-request-id").to_owned();
-            if request.header("heatherseam-expect-instance") != self.id {
-                let headers = [("Heatherseam-Instance-Id", &*self.id)];
-                writer.write_all(&kit::answer("421 Misdirected Request", &headers, b""))?;
+            if let Some(answer) = kit::answer_unrun(&request, &self.id) {
+                writer.write_all(&answer)?;
                 continue;
             }
             if !self.admit() {
--- a/review/standins-2/kit.rs
+++ b/review/harness-2.rs
@@ -133,6 +133,29 @@
     [text.as_bytes(), body].concat()
 }
 
+/// What a sound server answers to a request that it doesn't run whatever its load is: a health
+/// check, one for another instance, or one without an id.
+pub fn answer_unrun(request: &Message, own: &str) -> Option<Vec<u8>> {
+    let id = request.header("heatherseam-request-id");
+    let expected = request.header("heatherseam-expect-instance");
+    let own = ("Heatherseam-Instance-Id", own);
+    if request.method() == "GET" && request.path() == "/healthz" {
+        return Some(answer("200 OK", &[own], b""));
+    }
+    if id.is_empty() {
+        let headers = [("Heatherseam-Not-Executed", "1"), own];
+        return Some(answer("400 Bad Request", &headers, b""));
+    }
+    if !expected.is_empty() && expected != own.1 {
+        return Some(answer(
+            "421 Misdirected Request",
+            &[("Heatherseam-Request-Id", id), own],
+            b"",
+        ));
+    }
+    None
+}
+
 /// Accepts connections for ever; each gets a thread.
 pub fn serve(listener: TcpListener, handle: impl Fn(TcpStream) + Send + Sync + 'static) {
     let handle = Arc::new(handle);
