upstream: a request never returns to a connection that has refused it

Cause: all attempts of a request have the same id, so a late copy of an earlier attempt's refusal can't be told from the reply to a later one. A connection remembered only the last request, and was used for the same one again after one exchange in between.

Change: a connection records all requests to which it has brought a reply that was no success, for as long as it is open, and never carries them again. That holds after any number of exchanges, and for a request that its caller or another node sends again.

--- a/crates/connection/pool/src/server.rs
+++ b/crates/connection/pool/src/server.rs
@@ -195,10 +195,20 @@
     /// Removes the first waiter for the free connection `id`, if there is one and
     /// the connection may still be used.
     pub fn pop_waiter_for(&mut self, id: ConnectionId) -> Option<W> {
+        self.pop_waiter_where(id, |_| true)
+    }
+
+    /// Like [`Self::pop_waiter_for`], but prefers the first waiter that `is_suited` selects.
+    pub fn pop_waiter_where(
+        &mut self,
+        id: ConnectionId,
+        is_suited: impl Fn(&W) -> bool,
+    ) -> Option<W> {
         if !self.is_in_use(id) || self.retired || self.active() > self.share {
             return None;
         }
-        let waiter = self.pop_waiter()?;
+        let index = self.queue.iter().position(|(_, waiter)| is_suited(waiter)).unwrap_or(0);
+        let (_, waiter) = self.queue.remove(index)?;
         self.states.insert(id, State::Busy);
         Some(waiter)
     }
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -285,7 +285,7 @@
         process.table.borrow_mut().unheard(process.clock.now(), server);
         return AttemptOutcome::NotSent("the connection closed");
     }
-    let is_reused = connection.last_request.is_some();
+    let is_reused = connection.has_replied;
     let now = process.clock.now();
     process.metrics.record_connection_wait(now.since(guard.started));
     // Checked just before sending: while the attempt waited for a connection, the server
@@ -384,15 +384,20 @@
     {
         connection.idle_deadline = upstream::idle_deadline(process.clock.now(), timeout);
     }
-    if let Some(connection) = lease.connection() {
-        connection.last_request = Some(caller_request.id.clone());
-    }
-    lease.mark_reusable();
     let outcome = if reply_headers.not_run && reply_headers.request_id.is_none() && is_reused {
         AttemptOutcome::Unknown("the refusal may belong to an earlier request")
     } else {
         classify(parts, (body, held), reply_headers, guard)
     };
+    if let Some(connection) = lease.connection() {
+        connection.has_replied = true;
+        if !matches!(outcome, AttemptOutcome::Answered(_)) {
+            connection.unserved.add(&caller_request.id);
+        }
+        if !connection.unserved.is_full() {
+            lease.mark_reusable();
+        }
+    }
     if matches!(outcome, AttemptOutcome::Refused) {
         caller_request.certify_not_run();
     }
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod stop;
 pub mod timeouts;
 pub mod unreadable;
+pub mod unserved;
 pub mod usage;
 
 mod admin;
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -30,6 +30,7 @@
 use crate::breaks::Sign;
 use crate::losses;
 use crate::process::ByServer;
+use crate::unserved;
 use base::entity::Server;
 use base::time::Time;
 use pool::server;
@@ -70,16 +71,22 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// When it is too close to the server's idle timeout to be reused.
     pub(crate) idle_deadline: Time,
-    /// The id of the last request on it. A late copy of the answer to that one would be taken for
-    /// the answer to a further attempt of the same request, so these use other connections.
-    pub(crate) last_request: Option<HeaderValue>,
+    /// Whether a reply has come on it.
+    pub(crate) has_replied: bool,
+    /// The requests of which further attempts use other connections.
+    pub(crate) unserved: unserved::Requests,
     /// Whether it was leased for a request.
     leased: Rc<Cell<bool>>,
     task: AbortHandle,
 }
 
-type SharedConnections =
-    Rc<RefCell<Connections<Connection, oneshot::Sender<(ConnectionId, Connection)>>>>;
+/// A request that waits for a connection.
+struct Waiter {
+    request_id: HeaderValue,
+    sender: oneshot::Sender<(ConnectionId, Connection)>,
+}
+
+type SharedConnections = Rc<RefCell<Connections<Connection, Waiter>>>;
 
 /// A server and its connections.
 #[derive(Clone)]
@@ -323,7 +330,7 @@
     }
 
     /// Leases a connection to `server` for the request `request_id`: an idle one, or the first that
-    /// becomes free, but none whose last request was the same.
+    /// becomes free, but none that must not carry it again.
     pub(crate) async fn lease(
         &self,
         server: Server,
@@ -333,8 +340,8 @@
         demand.iter().for_each(|demand| demand.on_request());
         loop {
             let mut lease = self.lease_any(server, request_id).await?;
-            let last = lease.connection().and_then(|connection| connection.last_request.as_ref());
-            if last != Some(request_id) {
+            let is_usable = |connection: &mut Connection| !connection.unserved.contains(request_id);
+            if lease.connection().is_some_and(is_usable) {
                 let since = self.clock.now();
                 lease.meter = demand.map(|demand| Meter { clock: self.clock, since, demand });
                 return Ok(lease);
@@ -351,8 +358,7 @@
             let upstreams = self.upstreams.borrow();
             let Some(upstream) = &upstreams[server] else { return Err(LeaseError::QueueFull) };
             let connections = Rc::clone(&upstream.connections);
-            let is_usable =
-                |connection: &Connection| connection.last_request.as_ref() != Some(request_id);
+            let is_usable = |connection: &Connection| !connection.unserved.contains(request_id);
             loop {
                 let idle = connections.borrow_mut().take_idle_where(is_usable);
                 let Some((id, connection)) = idle else { break };
@@ -375,8 +381,9 @@
                 return Err(LeaseError::Unreachable);
             }
             let (sender, receiver) = oneshot::channel();
+            let waiter = Waiter { request_id: request_id.clone(), sender };
             let waiter =
-                connections.borrow_mut().enqueue(sender).map_err(|_| LeaseError::QueueFull)?;
+                connections.borrow_mut().enqueue(waiter).map_err(|_| LeaseError::QueueFull)?;
             self.try_open(upstream, 0);
             (WaiterGuard { connections, waiter }, receiver)
         };
@@ -454,16 +461,18 @@
     }
 }
 
-/// Passes a free connection to the first waiter, or makes it idle.
+/// Passes a free connection to the first waiter that can use it, or else to the first one, which
+/// replaces it; makes it idle if there is none.
 fn return_connection(
     connections: &SharedConnections,
     id: ConnectionId,
     mut connection: Connection,
 ) {
     loop {
-        let waiter = connections.borrow_mut().pop_waiter_for(id);
+        let is_suited = |waiter: &Waiter| !connection.unserved.contains(&waiter.request_id);
+        let waiter = connections.borrow_mut().pop_waiter_where(id, is_suited);
         let Some(waiter) = waiter else { break };
-        match waiter.send((id, connection)) {
+        match waiter.sender.send((id, connection)) {
             Ok(()) => return,
             Err((_, returned)) => connection = returned,
         }
@@ -547,7 +556,8 @@
                 Connection {
                     sender,
                     idle_deadline,
-                    last_request: None,
+                    has_replied: false,
+                    unserved: unserved::Requests::new(),
                     leased,
                     task: task.abort_handle(),
                 },
