exchange: only final statuses of HTTP are answers

Status 000 became 502 before, too.

Cause: the check of statuses was left to the HTTP library, which rejects what is below 100 or no number, and passes on 101 and everything up to 999.

Change: a reply whose status is not from 200 to 599 is no answer, whatever its headers say, and so is one that another node passes back. Replies that are no answer end their connection, since the answer may still come.

The check in the node that passes on is not covered.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod instance;
 pub mod link;
 pub mod platform;
+pub mod raw;
 pub mod store;
 pub mod upstream;
 pub mod wait;
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::cell::OnceCell;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
@@ -46,6 +48,14 @@
 /// The maximum size of a reply's body.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
+/// The statuses that end an exchange.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Whether a status is a final one of HTTP; the HTTP library passes on others, too.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    FINAL_STATUSES.contains(&status.as_u16())
+}
+
 /// The request that is sent by all its attempts.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -352,6 +362,9 @@
     };
     process.table.borrow_mut().heard(process.clock.now(), server);
     let (parts, body) = response.into_parts();
+    if !is_final(parts.status) {
+        return AttemptOutcome::Unknown("the reply's status is no final one");
+    }
     let reply_headers = process.protocol.read_reply(parts.status.as_u16(), &parts.headers);
     if reply_headers.leaving {
         on_leaving(process, server, &reply_headers);
@@ -389,7 +402,10 @@
     } else {
         classify(parts, (body, held), reply_headers, guard)
     };
-    if let Some(connection) = lease.connection() {
+    // A reply that is no answer ends its connection: the answer may still come.
+    if !matches!(outcome, AttemptOutcome::Unknown(_))
+        && let Some(connection) = lease.connection()
+    {
         connection.has_replied = true;
         if !matches!(outcome, AttemptOutcome::Answered(_)) {
             connection.unserved.add(&caller_request.id);
--- a/crates/process/entry/src/forward.rs
+++ b/crates/process/entry/src/forward.rs
@@ -211,6 +211,10 @@
         if parts.headers.contains_key(NOT_TAKEN) {
             return Passed::NotSent;
         }
+        // A node of an earlier build passes such statuses of servers on.
+        if !exchange::is_final(parts.status) {
+            return Passed::Unknown;
+        }
         match exchange::read_body(process, body).await {
             Ok((body, _)) => {
                 serve::remove_hop_by_hop(&mut parts.headers);
