--- a/crates/process/node/tests/deployed/mod.rs
+++ b/crates/process/node/tests/deployed/mod.rs
@@ -60,6 +60,8 @@
     pub servers: Vec<Instance>,
     /// Bounds in the nodes' settings besides the usual ones.
     pub more_bounds: Value,
+    /// The descriptors that a node may use, if that is limited.
+    pub max_descriptors: Option<u64>,
     dir: PathBuf,
     subnet: u8,
     nodes_started: AtomicU32,
@@ -107,6 +109,7 @@
             store,
             servers,
             more_bounds: json!({}),
+            max_descriptors: None,
             dir,
             subnet,
             nodes_started: AtomicU32::new(1),
@@ -158,6 +161,9 @@
             },
             "platform": { "address": store }
         });
+        if let Some(max) = self.max_descriptors {
+            text["limits"]["max_fds"] = json!(max);
+        }
         if let (Some(bounds), Some(more)) =
             (text["bounds"].as_object_mut(), self.more_bounds.as_object())
         {
@@ -276,6 +282,12 @@
         addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect()
     }
 
+    /// The addresses that it listens on besides that for callers.
+    pub fn other_addresses(&self) -> [SocketAddr; 4] {
+        let peers = SocketAddr::new(self.caller_address.ip(), PEER_PORT);
+        [self.lookup_address, self.readiness_address, self.metrics_address, peers]
+    }
+
     /// Whether its metrics endpoint answers.
     pub async fn serves_metrics(&self) -> bool {
         http::send(self.metrics_address, request("0", "GET", "/metrics", "")).await.is_ok()
