exchange: the memory of replies counts what it keeps, not only its bytes

Cause: the limit counted the bytes of the HTTP library's frames, but a frame keeps a handle of 32 bytes and its place in the library's read buffer. Read buffers were limited by the library's default of 408 KB only.

Change: replies are copied into segments whose memory is counted before it is taken. A server's connection has a read buffer of at most 32 KB.

Tests: endless_replies, with four more forms and as parts of searches.

--- a/crates/fakes/src/endless.rs
+++ b/crates/fakes/src/endless.rs
@@ -21,6 +21,14 @@
     Body,
     /// A body in chunks.
     Chunks,
+    /// A body in chunks of one byte.
+    ByteChunks,
+    /// The extension of a chunk.
+    Extension,
+    /// The header lines after a body.
+    Trailers,
+    /// Informational answers before the final one.
+    Informational,
     /// Bytes that are no answer.
     Noise,
     /// A body of which one byte comes in 50 ms.
@@ -33,6 +41,20 @@
 const REPEATS: usize = 512;
 
 impl Part {
+    /// All parts.
+    pub const ALL: [Self; 10] = [
+        Self::Body,
+        Self::Chunks,
+        Self::Head,
+        Self::Value,
+        Self::Noise,
+        Self::Trickle,
+        Self::ByteChunks,
+        Self::Extension,
+        Self::Trailers,
+        Self::Informational,
+    ];
+
     /// The bytes that begin an answer, and those that are repeated without end.
     fn bytes(self) -> (&'static str, &'static str) {
         let head = "HTTP/1.1 200 OK\r\n";
@@ -46,6 +68,19 @@
                 let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
                 (head, "10\r\nsixteen bytes ..\r\n")
             }
+            Self::ByteChunks => {
+                let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+                (head, "1\r\nx\r\n")
+            }
+            Self::Extension => {
+                let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n10;";
+                (head, "some more bytes of an extension ")
+            }
+            Self::Trailers => {
+                let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+                (head, "x-filler: some more bytes of a trailer\r\n")
+            }
+            Self::Informational => ("", "HTTP/1.1 100 Continue\r\n\r\n"),
             Self::Noise => ("", "no answer at all "),
             Self::Trickle => ("HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n", "."),
         }
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -27,6 +27,7 @@
 
 use crate::breaks;
 use crate::breaks::Sign;
+use crate::buffer::Buffer;
 use crate::in_flight::Run;
 use crate::limits;
 use crate::process::Process;
@@ -473,23 +474,22 @@
     mut body: Incoming,
 ) -> Result<HeldBody, &'static str> {
     let mut held = Held::new(&process.reply_memory);
-    let mut frames: Vec<Bytes> = Vec::new();
-    let mut length = 0;
+    let mut buffer = Buffer::with_max(MAX_REPLY_BYTES);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| "the reply broke off")?;
         let Ok(data) = frame.into_data() else { continue };
-        length += data.len();
-        if length > MAX_REPLY_BYTES || !held.grow(data.len()) {
+        // Copied, since a frame keeps the library's whole read buffer.
+        let is_added = match buffer.growth(data.len()) {
+            Some(growth) => held.grow(growth),
+            None => false,
+        };
+        if !is_added {
             process.metrics.record_dropped_reply();
             return Err("the reply is too large, or the memory for replies is used up");
         }
-        frames.push(data);
+        buffer.push(&data);
     }
-    let body = match frames.len() {
-        0 | 1 => frames.pop().unwrap_or_default(),
-        _ => Bytes::from(frames.concat()),
-    };
-    Ok((body, held))
+    Ok((buffer.into_bytes(), held))
 }
 
 /// The idle timeout from the `Keep-Alive` header.
--- a/crates/process/entry/src/lib.rs
+++ b/crates/process/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![deny(missing_docs)]
 
+pub mod buffer;
 pub mod clock;
 pub mod delays;
 pub mod departures;
--- a/crates/process/entry/src/reply_memory.rs
+++ b/crates/process/entry/src/reply_memory.rs
@@ -6,8 +6,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// The fraction of the node's memory that replies may use. The frames of a reply exist twice
-/// while they are joined.
+/// The fraction of the node's memory that replies may use. A reply exists twice while its buffer
+/// grows.
 const MEMORY_FRACTION: f64 = 0.2;
 /// The limit of a node whose memory is not known.
 const DEFAULT_LIMIT: usize = 64 << 20;
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -46,6 +46,8 @@
 const DEFAULT_CONNECTIONS: u32 = 2;
 /// How long before the server's idle timeout a connection is no longer reused.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// The maximum size of a server's connection's read buffer, and of the head of a reply.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 /// How long sent data may stay unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The idle time before the first TCP keep-alive probe, and between probes.
@@ -523,7 +525,9 @@
 }
 
 async fn open(clock: crate::clock::Clock, mut opening: Opening, idle_broke: Rc<Notify>) {
-    let opened = timeout(CONNECT_TIMEOUT, connect(opening.address)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+    let opened = timeout(CONNECT_TIMEOUT, connect_with(opening.address, &builder)).await;
     let failure = match opened {
         Ok(Ok((sender, connection))) => {
             opening.is_open = true;
@@ -589,13 +593,20 @@
 /// The sending side of a connection, and the future that drives its I/O.
 pub type Opened = (SendRequest<Full<Bytes>>, http1::Connection<TokioIo<TcpStream>, Full<Bytes>>);
 
-/// Opens a connection with dead peer detection.
+/// Opens a connection to a node or the registry, with dead peer detection.
 pub async fn connect(address: SocketAddr) -> Result<Opened, Box<dyn std::error::Error>> {
+    connect_with(address, &http1::Builder::new()).await
+}
+
+async fn connect_with(
+    address: SocketAddr,
+    builder: &http1::Builder,
+) -> Result<Opened, Box<dyn std::error::Error>> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
     detect_dead_peer(&stream)?;
-    Ok(http1::handshake(TokioIo::new(stream)).await?)
+    Ok(builder.handshake(TokioIo::new(stream)).await?)
 }
 
 /// Sets socket options by which the operating system closes a connection whose peer no
