inbound: one ledger for what callers, nodes and operators make a node hold

Cause: only single requests had limits. A body was collected from the HTTP library's frames, which keep a handle of 32 bytes and the library's whole read buffer each, and the number of connections had no limit; at the addresses for lookups, readiness checks, metrics and other nodes, heads that don't end stayed for good.

Change: connections, read buffers and bodies are entered in a ledger with limits from memory_mb and max_fds. If room is short, connections without a request and without progress are ended first, requests that run never; each listener has room of its own. Bodies are copied into segments that are counted before. A body that is given up is refused as not run (503).

--- a/crates/process/entry/src/admin.rs
+++ b/crates/process/entry/src/admin.rs
@@ -22,6 +22,7 @@
 use serde_json::json;
 
 use crate::breaks;
+use crate::inbound::Connection;
 use crate::process::Process;
 use crate::serve;
 use crate::serve::Answer;
@@ -35,10 +36,16 @@
 const BLOCKED_PATH: &str = "/blocked";
 
 /// Answers a request of an operator.
-pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn handle(
+    process: Rc<Process>,
+    request: Request<Incoming>,
+    connection: Rc<Connection>,
+) -> Answer {
+    connection.run();
     let path = request.uri().path();
     match (request.method(), path) {
         (&Method::GET, METRICS_PATH) => {
+            process.metrics.record_inbound(&process.inbound, process.reply_memory.used());
             Answer::new(Full::new(Bytes::from(process.metrics.encode())))
         }
         (&Method::GET, STATUS_PATH) => status(&process),
--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -29,6 +29,7 @@
 use crate::breaks::Sign;
 use crate::buffer::Buffer;
 use crate::in_flight::Run;
+use crate::inbound;
 use crate::limits;
 use crate::process::Process;
 use crate::protocol::ReplyHeaders;
@@ -64,6 +65,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The memory of the body.
+    pub(crate) _held: inbound::Body,
     pub(crate) id: HeaderValue,
     /// The customer, if the request names one.
     pub(crate) customer: Option<Arc<Customer>>,
--- a/crates/process/entry/src/forward.rs
+++ b/crates/process/entry/src/forward.rs
@@ -25,6 +25,7 @@
 
 use crate::exchange;
 use crate::exchange::CallerRequest;
+use crate::inbound::Connection as Inbound;
 use crate::members::has_path;
 use crate::process::Process;
 use crate::serve;
@@ -106,6 +107,7 @@
     process: Rc<Process>,
     mut request: Request<Incoming>,
     version: u64,
+    connection: &Rc<Inbound>,
 ) -> Answer {
     request.headers_mut().remove(FORWARDED);
     if process.leaving.get() {
@@ -117,7 +119,7 @@
         log::info!(target: "request", version = own, needed = version; "A request of another node was not taken over: this node's configuration is older than the sender's.");
         return not_taken();
     }
-    serve::handle_forwarded(process, request).await
+    serve::handle_forwarded(process, request, connection).await
 }
 
 /// Refuses a request that another node has passed on; that node may try a further one.
--- a/crates/process/entry/src/front.rs
+++ b/crates/process/entry/src/front.rs
@@ -7,30 +7,24 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hyper::header;
 use hyper::http::HeaderValue;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+use crate::inbound::Connection;
+use crate::inbound::Listener;
+use crate::listener;
 use crate::listener::ACCEPT_PAUSE;
+use crate::metered;
 use crate::process::Process;
 use crate::serve;
 use crate::upstream;
 
-/// The smallest header buffer that the HTTP library accepts.
-const MIN_HEADER_BUFFER_BYTES: usize = 8 << 10;
-/// Added to the idle timeout of callers' connections, so that a caller closes its idle
-/// connection before this node does, and sends no request on a closed one.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
-
 /// Accepts connections until `close` is set: one that was accepted later could be passed on
 /// to a server and not be answered before the process exits.
 pub(crate) async fn accept(
@@ -47,8 +41,16 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve(Rc::clone(&process), stream, close.clone());
-                connections.spawn_local(connection);
+                let configured =
+                    stream.set_nodelay(true).and_then(|()| upstream::detect_dead_peer(&stream));
+                if let Err(error) = configured {
+                    log::debug!(target: "front", "Socket options were not set: {error}.");
+                }
+                let admitted = listener::admit(&process, stream, Listener::Callers).await;
+                if let Some((stream, connection)) = admitted {
+                    let serving = serve(Rc::clone(&process), stream, connection, close.clone());
+                    connections.spawn_local(serving);
+                }
             }
             Err(error) => {
                 log::warn!(target: "front", error:% = error; "Accept failed.");
@@ -58,36 +60,36 @@
     }
 }
 
-async fn serve(process: Rc<Process>, stream: TcpStream, mut close: watch::Receiver<bool>) {
-    let configured = stream.set_nodelay(true).and_then(|()| upstream::detect_dead_peer(&stream));
-    if let Err(error) = configured {
-        log::debug!(target: "front", "Socket options were not set: {error}.");
-    }
-    let limits =
-        process.router.borrow().as_ref().map_or_else(Default::default, |router| router.limits);
-    let handler = Rc::clone(&process);
+async fn serve(
+    process: Rc<Process>,
+    stream: metered::Stream,
+    connection: Rc<Connection>,
+    mut close: watch::Receiver<bool>,
+) {
+    let (handler, held) = (Rc::clone(&process), Rc::clone(&connection));
     let service = service_fn(move |request| {
-        let process = Rc::clone(&handler);
+        let (process, connection) = (Rc::clone(&handler), Rc::clone(&held));
         async move {
-            let mut answer = serve::handle(Rc::clone(&process), request).await;
+            connection.begin(process.clock.now());
+            let mut answer = serve::handle(Rc::clone(&process), request, &connection).await;
+            connection.answered(process.clock.now());
             if process.leaving.get() || !process.has_path() {
                 answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer)
         }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // The library applies this timeout to the idle time between requests too.
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_MARGIN)
-        .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let builder = listener::builder(&process, Listener::Callers);
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = serving.as_mut() => result,
+        () = connection.ended() => {
+            return log::debug!(target: "front", "A connection was closed to make room.");
+        }
         _ = close.wait_for(|close| *close) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            serving.as_mut().graceful_shutdown();
+            serving.await
         }
     };
     if let Err(error) = result {
--- a/crates/process/entry/src/lookup.rs
+++ b/crates/process/entry/src/lookup.rs
@@ -12,6 +12,7 @@
 use hyper::header;
 use hyper::http::HeaderValue;
 
+use crate::inbound::Connection;
 use crate::members::has_path;
 use crate::members::present_capacity;
 use crate::placement;
@@ -30,7 +31,12 @@
 pub(crate) const MAX_LOOKUP_TTL: Duration = Duration::from_secs(2);
 
 /// Answers a lookup or a readiness check.
-pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn handle(
+    process: Rc<Process>,
+    request: Request<Incoming>,
+    connection: Rc<Connection>,
+) -> Answer {
+    connection.run();
     if process.protocol.is_readiness(request.uri()) {
         let status =
             if process.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/process/entry/src/metrics.rs
+++ b/crates/process/entry/src/metrics.rs
@@ -16,6 +16,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::inbound;
+use crate::inbound::Listener;
 use crate::registry::Kind;
 use crate::revision::Revision;
 
@@ -39,6 +41,9 @@
     customer_requests: Counter<u64>,
     forwards: Counter<u64>,
     dropped_replies: Counter<u64>,
+    inbound_connections: Gauge<u64>,
+    inbound_bytes: Gauge<u64>,
+    inbound_refused: Gauge<u64>,
     ended_servers: Counter<u64>,
     blocked_requests: Gauge<u64>,
     blocks: Counter<u64>,
@@ -76,6 +81,9 @@
             attempts: meter.u64_counter("heatherseam_attempts").build(),
             extra_sends: meter.u64_counter("heatherseam_extra_sends").build(),
             dropped_replies: meter.u64_counter("heatherseam_replies_dropped").build(),
+            inbound_connections: meter.u64_gauge("heatherseam_inbound_connections").build(),
+            inbound_bytes: meter.u64_gauge("heatherseam_held_bytes").build(),
+            inbound_refused: meter.u64_gauge("heatherseam_inbound_given_up").build(),
             blocked_requests: meter.u64_gauge("heatherseam_poison_requests").build(),
             blocks: meter.u64_counter("heatherseam_poison_changes").build(),
             ended_servers: meter.u64_counter("heatherseam_servers_ended").build(),
@@ -151,6 +159,22 @@
         self.dropped_replies.add(1, &[]);
     }
 
+    /// Records what others make this node hold; `replies` is the memory of the replies in progress.
+    pub(crate) fn record_inbound(&self, ledger: &inbound::Ledger, replies: usize) {
+        for listener in Listener::ALL {
+            let label = [KeyValue::new("part", listener.name())];
+            let connections = ledger.connections(listener);
+            self.inbound_connections.record(connections.held as u64, &label);
+            self.inbound_refused.record(connections.refused, &label);
+        }
+        let bodies = ledger.bodies();
+        self.inbound_refused.record(bodies.refused, &[KeyValue::new("part", "bodies")]);
+        let held = [("bodies", bodies.held), ("buffers", ledger.buffers()), ("replies", replies)];
+        for (part, bytes) in held {
+            self.inbound_bytes.record(bytes as u64, &[KeyValue::new("part", part)]);
+        }
+    }
+
     /// Counts a server that ended while requests ran there.
     pub(crate) fn record_ended_server(&self) {
         self.ended_servers.add(1, &[]);
--- a/crates/process/entry/src/process.rs
+++ b/crates/process/entry/src/process.rs
@@ -21,6 +21,7 @@
 use crate::feed::Feed;
 use crate::forward;
 use crate::in_flight::InFlight;
+use crate::inbound;
 use crate::loans;
 use crate::members::Members;
 use crate::members::WHOLE_REACH;
@@ -86,6 +87,8 @@
     pub(crate) ledger_changed: Notify,
     /// The requests that broke off at servers which may have ended.
     pub(crate) breaks: RefCell<Breaks>,
+    /// What callers, nodes and operators make this node hold.
+    pub(crate) inbound: Rc<inbound::Ledger>,
     /// The memory of the replies in progress.
     pub(crate) reply_memory: Rc<Memory>,
     /// The connections on which requests are passed on to other nodes.
--- a/crates/process/entry/src/read.rs
+++ b/crates/process/entry/src/read.rs
@@ -8,16 +8,19 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::HeaderValue;
 use hyper::http::request::Parts;
 use tokio::time::timeout;
 
+use crate::buffer::Buffer;
 use crate::customers;
+use crate::inbound;
+use crate::inbound::Connection;
 use crate::process::Process;
 use crate::protocol::RequestHeaders;
 use crate::serve;
@@ -39,6 +42,8 @@
     pub(crate) customer: Option<Arc<Customer>>,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// The memory of the body.
+    pub(crate) held: inbound::Body,
 }
 
 /// A request that was rejected before it ran.
@@ -86,6 +91,8 @@
     BodyAborted,
     #[error("its body did not come in time")]
     BodyTimeout,
+    #[error("there is no memory for its body")]
+    NoMemory,
 }
 
 impl Rejection {
@@ -100,6 +107,7 @@
             Self::NoConfig | Self::Unconfirmed => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(STARTUP_RETRY_AFTER))
             }
+            Self::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, Some(serve::DEFAULT_RETRY_AFTER)),
             Self::Stopping => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(serve::OTHER_NODE_RETRY_AFTER))
             }
@@ -142,14 +150,22 @@
     }
 }
 
+/// How a request is read.
+pub(crate) struct Reading<'a> {
+    pub(crate) router: &'a Rc<Router>,
+    pub(crate) headers: &'a RequestHeaders,
+    pub(crate) caller_timeout: Duration,
+    /// The connection on which it arrives.
+    pub(crate) connection: &'a Connection,
+}
+
 /// Finds the route and the customer of a request and reads its body.
 pub(crate) async fn read(
     process: &Process,
-    router: &Rc<Router>,
-    headers: &RequestHeaders,
-    caller_timeout: Duration,
+    reading: Reading<'_>,
     request: Request<Incoming>,
 ) -> Result<AdmittedRequest, Rejected> {
+    let Reading { router, headers, caller_timeout, connection } = reading;
     let route = route(router, &request).ok_or(Rejection::NoRoute)?;
     let id = headers.request_id.clone().ok_or(Rejection::NoRequestId)?;
     let customer = customers::identify(process, router, &route, headers)?;
@@ -160,16 +176,40 @@
     let rejected = |why| Rejected { why, customer: customer.clone() };
     // After this time the caller no longer waits.
     let body_timeout = route.timeout.min(caller_timeout);
-    let collecting = Limited::new(body, router.limits.body_bytes).collect();
-    let body = match timeout(body_timeout, collecting).await {
-        Err(_) => return Err(rejected(Rejection::BodyTimeout)),
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(rejected(Rejection::BodyTooLarge));
+    let mut held = connection.body();
+    let collecting = collect(process, body, router.limits.body_bytes, &mut held);
+    let collected = tokio::select! {
+        collected = timeout(body_timeout, collecting) => {
+            collected.unwrap_or(Err(Rejection::BodyTimeout))
         }
-        Ok(Err(_)) => return Err(rejected(Rejection::BodyAborted)),
+        () = connection.body_ended() => Err(Rejection::NoMemory),
     };
-    Ok(AdmittedRequest { router: Rc::clone(router), route, id, customer, parts, body })
+    let body = collected.map_err(rejected)?;
+    Ok(AdmittedRequest { router: Rc::clone(router), route, id, customer, parts, body, held })
+}
+
+/// Reads a body of at most `max` bytes.
+async fn collect(
+    process: &Process,
+    mut body: Incoming,
+    max: usize,
+    held: &mut inbound::Body,
+) -> Result<Bytes, Rejection> {
+    if body.size_hint().lower() > max as u64 {
+        return Err(Rejection::BodyTooLarge);
+    }
+    let mut buffer = Buffer::with_max(max);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Rejection::BodyAborted)?;
+        // Copied, since a frame keeps the library's whole read buffer.
+        let Ok(data) = frame.into_data() else { continue };
+        let growth = buffer.growth(data.len()).ok_or(Rejection::BodyTooLarge)?;
+        if growth > 0 && !held.grow(process.clock.now(), growth) {
+            return Err(Rejection::NoMemory);
+        }
+        buffer.push(&data);
+    }
+    Ok(buffer.into_bytes())
 }
 
 /// The route for a request's host, with or without its port, and path.
--- a/crates/process/entry/src/relay.rs
+++ b/crates/process/entry/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::evacuations;
 use crate::feed::Since;
 use crate::forward;
+use crate::inbound::Connection;
 use crate::message;
 use crate::message::KINDS;
 use crate::message::Poll;
@@ -74,9 +75,13 @@
 
 /// Answers a poll of another node: at once if it misses something, else as soon as there is a
 /// change or its wait ends. Answers callers' requests that another node passes on, too.
-pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn handle(
+    process: Rc<Process>,
+    request: Request<Incoming>,
+    connection: Rc<Connection>,
+) -> Answer {
     if let Some(version) = forward::version_of(&request) {
-        return forward::handle(process, request, version).await;
+        return forward::handle(process, request, version, &connection).await;
     }
     let body = match Limited::new(request.into_body(), 1024).collect().await {
         Ok(body) => body.to_bytes(),
@@ -85,6 +90,7 @@
             return serve::empty_answer(StatusCode::BAD_REQUEST, None);
         }
     };
+    connection.run();
     let poll: Poll = match message::decode(&body) {
         Ok(poll) => poll,
         Err(error) => {
--- a/crates/process/entry/src/run.rs
+++ b/crates/process/entry/src/run.rs
@@ -32,6 +32,9 @@
 use crate::heartbeat;
 use crate::in_flight;
 use crate::in_flight::InFlight;
+use crate::inbound;
+use crate::inbound::Limits;
+use crate::inbound::Listener;
 use crate::listener;
 use crate::loans;
 use crate::lookup;
@@ -128,20 +131,35 @@
     let (close, closing) = watch::channel(false);
     let accepting =
         spawn_local(front::accept(Rc::clone(&process), callers, connections.clone(), closing));
-    spawn_local(listener::accept(Rc::clone(&process), readiness, lookup::handle));
+    spawn_local(listener::accept(
+        Rc::clone(&process),
+        readiness,
+        Listener::Readiness,
+        lookup::handle,
+    ));
     if let Some(lookups) = lookups {
-        spawn_local(listener::accept(Rc::clone(&process), lookups, lookup::handle));
+        spawn_local(listener::accept(
+            Rc::clone(&process),
+            lookups,
+            Listener::Lookups,
+            lookup::handle,
+        ));
     }
     if let Some(address) = process.settings.metrics_address {
         let metrics = listen(address).await?;
-        spawn_local(listener::accept(Rc::clone(&process), metrics, admin::handle));
+        spawn_local(listener::accept(
+            Rc::clone(&process),
+            metrics,
+            Listener::Operators,
+            admin::handle,
+        ));
     }
     spawn_local(watcher::start(Rc::clone(&process)));
     spawn_local(watcher::expire_servers(Rc::clone(&process)));
     spawn_local(path::watch(Rc::clone(&process)));
     spawn_local(in_flight::watch(Rc::clone(&process)));
     spawn_local(breaks::watch_losses(Rc::clone(&process)));
-    spawn_local(listener::accept(Rc::clone(&process), peers, relay::handle));
+    spawn_local(listener::accept(Rc::clone(&process), peers, Listener::Nodes, relay::handle));
     spawn_local(relay::follow(Rc::clone(&process)));
     spawn_local(heartbeat::send(Rc::clone(&process), Rc::clone(&socket)));
     spawn_local(notices::send(Rc::clone(&process), Rc::clone(&socket)));
@@ -202,6 +220,8 @@
     let incarnation = rng.random();
     let mut budget = Budget::new(settings.retry_budget);
     budget.set_share(Time::ZERO, shares.slack_fraction());
+    let pool = Pool::new(clock);
+    let limits = Limits::new(settings.memory, descriptors(settings.descriptors));
     Ok(Process {
         clock,
         protocol,
@@ -216,7 +236,8 @@
         customer_stats: RefCell::new(Stats::default()),
         is_config_compared: Cell::new(false),
         route_stats: RefCell::new(StatsByRoute::default()),
-        pool: Pool::new(clock),
+        inbound: Rc::new(inbound::Ledger::new(limits, pool.open_count())),
+        pool,
         in_flight: InFlight::default(),
         ledger: RefCell::new(Ledger::new(rng.random())),
         ledger_changed: Notify::new(),
@@ -260,6 +281,13 @@
     })
 }
 
+/// The descriptors that the process may use: those of the settings, or what the operating system
+/// allows if that is less.
+fn descriptors(settings: Option<u64>) -> Option<u64> {
+    let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    settings.into_iter().chain(allowed).min()
+}
+
 /// Shuts down: lookups stop returning this node at once. It accepts connections until no
 /// caller has its address cached, and then waits for the requests that are running. Those that
 /// outlast the grace are answered at its end.
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::exchange::Reply;
 use crate::forward;
 use crate::homes;
+use crate::inbound::Connection;
 use crate::members::present_capacity;
 use crate::process::Process;
 use crate::process::RouteStats;
@@ -52,7 +53,7 @@
 pub(crate) type Answer = Response<Full<Bytes>>;
 
 /// The `Retry-After` of requests that were not run.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The `Retry-After` of a node that has lost its path to the servers, or stops: other nodes serve.
 pub(crate) const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(5);
 /// The assumed network time between the caller and this node, in one direction.
@@ -80,18 +81,27 @@
 ];
 
 /// Handles a caller's request; passes it on to another node if this one reaches too few servers.
-pub(crate) async fn handle(process: Rc<Process>, request: Request<Incoming>) -> Answer {
-    handle_with(process, request, true).await
+pub(crate) async fn handle(
+    process: Rc<Process>,
+    request: Request<Incoming>,
+    connection: &Rc<Connection>,
+) -> Answer {
+    handle_with(process, request, connection, true).await
 }
 
 /// Handles a request that another node has passed on.
-pub(crate) async fn handle_forwarded(process: Rc<Process>, request: Request<Incoming>) -> Answer {
-    handle_with(process, request, false).await
+pub(crate) async fn handle_forwarded(
+    process: Rc<Process>,
+    request: Request<Incoming>,
+    connection: &Rc<Connection>,
+) -> Answer {
+    handle_with(process, request, connection, false).await
 }
 
 async fn handle_with(
     process: Rc<Process>,
     request: Request<Incoming>,
+    connection: &Rc<Connection>,
     may_pass_on: bool,
 ) -> Answer {
     let arrived = process.clock.now();
@@ -102,19 +112,26 @@
     let read_result = match router {
         Some(_) if process.stop.is_too_late(arrived) => Err(Rejection::Stopping.into()),
         Some(router) => {
-            let result = read::read(&process, &router, &request_headers, caller_timeout, request);
+            let reading = read::Reading {
+                router: &router,
+                headers: &request_headers,
+                caller_timeout,
+                connection,
+            };
+            let result = read::read(&process, reading, request);
             let result = process.stop.run_until_due(result).await;
             result.unwrap_or_else(|| Err(Rejection::Stopping.into()))
         }
         None => Err(Rejection::NoConfig.into()),
     };
-    let AdmittedRequest { router, route, id, customer, parts, body } = match read_result {
+    let AdmittedRequest { router, route, id, customer, parts, body, held } = match read_result {
         Ok(admitted) => admitted,
         Err(rejected) => {
             let id = request_headers.request_id.as_ref();
             return rejected.why.into_answer(&process, id, rejected.customer.as_deref());
         }
     };
+    connection.run();
     let customer_homes = customer.as_ref().map_or(region::Set::ANY, |customer| customer.homes);
     let Some(homes) = homes::common(route.homes, customer_homes) else {
         return Rejection::NoCommonRegion.into_answer(&process, Some(&id), customer.as_deref());
@@ -132,6 +149,7 @@
         uri: parts.uri,
         headers,
         body,
+        _held: held,
         id,
         credential: request_headers.credential,
         customer,
--- a/crates/process/entry/src/settings.rs
+++ b/crates/process/entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub capacity: u32,
     /// The memory that the process may use, in bytes, if there is a limit.
     pub memory: Option<u64>,
+    /// The descriptors that the process may use, if there is a limit.
+    pub descriptors: Option<u64>,
     /// The address that serves callers' requests.
     pub caller_address: SocketAddr,
     /// The address that answers readiness checks.
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -193,6 +193,8 @@
 pub struct Pool {
     clock: crate::clock::Clock,
     upstreams: RefCell<ByServer<Option<Upstream>>>,
+    /// The number of open connections.
+    open_count: Rc<Cell<usize>>,
     /// Notified when a connection breaks that carried no request.
     idle_broke: Rc<Notify>,
 }
@@ -200,7 +202,17 @@
 impl Pool {
     /// A pool without servers.
     pub fn new(clock: crate::clock::Clock) -> Self {
-        Self { clock, upstreams: RefCell::new(ByServer::new()), idle_broke: Rc::default() }
+        Self {
+            clock,
+            upstreams: RefCell::new(ByServer::new()),
+            open_count: Rc::default(),
+            idle_broke: Rc::default(),
+        }
+    }
+
+    /// The number of open connections to all servers.
+    pub(crate) fn open_count(&self) -> Rc<Cell<usize>> {
+        Rc::clone(&self.open_count)
     }
 
     /// Adds a server, or updates this node's share of its connections; `None` if its limit is
@@ -261,8 +273,8 @@
         }
         let reserved = upstream.connections.borrow_mut().start_connect(min_open);
         if let Some(id) = reserved {
-            let idle_broke = Rc::clone(&self.idle_broke);
-            tokio::task::spawn_local(open(self.clock, Opening::new(upstream, id), idle_broke));
+            let opening = Opening::new(upstream, id, Open::new(&self.open_count));
+            tokio::task::spawn_local(open(self.clock, opening, Rc::clone(&self.idle_broke)));
         }
     }
 
@@ -492,14 +504,22 @@
     id: ConnectionId,
     address: SocketAddr,
     reachability: Rc<Reachability>,
+    counted: Option<Open>,
     is_open: bool,
 }
 
 impl Opening {
-    fn new(upstream: &Upstream, id: ConnectionId) -> Self {
+    fn new(upstream: &Upstream, id: ConnectionId, counted: Open) -> Self {
         let (connections, reachability) =
             (Rc::clone(&upstream.connections), Rc::clone(&upstream.reachability));
-        Self { connections, id, address: upstream.address, reachability, is_open: false }
+        Self {
+            connections,
+            id,
+            address: upstream.address,
+            reachability,
+            counted: Some(counted),
+            is_open: false,
+        }
     }
 }
 
@@ -511,11 +531,28 @@
     }
 }
 
+/// Counts as an open connection until it is dropped.
+struct Open(Rc<Cell<usize>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// The place of an open connection in its pool. The connection's task owns it, so that it is
 /// released however the task ends: closed by the server, or aborted by this node.
 struct Slot {
     connections: SharedConnections,
     id: ConnectionId,
+    _counted: Option<Open>,
 }
 
 impl Drop for Slot {
@@ -533,7 +570,8 @@
             opening.is_open = true;
             opening.reachability.connect_failed.set(false);
             let (connections, id) = (Rc::clone(&opening.connections), opening.id);
-            let slot = Slot { connections: Rc::clone(&opening.connections), id };
+            let counted = opening.counted.take();
+            let slot = Slot { connections: Rc::clone(&connections), id, _counted: counted };
             let reachability = Rc::clone(&opening.reachability);
             let opened_at = clock.now();
             let leased = Rc::new(Cell::new(false));
--- a/crates/process/node/tests/caller_crowds.rs
+++ b/crates/process/node/tests/caller_crowds.rs
@@ -102,7 +102,7 @@
 /// A caller that comes back as long as the crowd is there; every tenth one sends all bytes.
 async fn come_back(address: SocketAddr, form: Form, number: usize) {
     let (bytes, piece) = form.bytes();
-    let missing = if number % 10 == 0 { 0 } else { form.missing() };
+    let missing = if number.is_multiple_of(10) { 0 } else { form.missing() };
     loop {
         // A connection that is refused or ended is what the node may do.
         let _ = call(address, &bytes[..bytes.len() - missing], piece).await;
