exchange: a head with parts of two replies is no answer

Cause: an answer that is cut within the value of a header, and a late copy of another one, are read as one head. The first of two ids made it one's own reply, and a copied refusal's statement that the request has not run counted with any status.

Change: a head with two ids, stamps, server ids, statements that the request has not run or lengths, or with a status line within a value, is no answer.

--- a/crates/process/entry/src/exchange.rs
+++ b/crates/process/entry/src/exchange.rs
@@ -58,6 +58,17 @@
     FINAL_STATUSES.contains(&status.as_u16())
 }
 
+/// Whether a second reply begins within the value of a header: the first one was cut there.
+fn has_status_line(value: &HeaderValue) -> bool {
+    let is_digits = |code: &[u8]| code.iter().all(u8::is_ascii_digit);
+    let is_line = |part: &[u8]| {
+        part.starts_with(b"HTTP/1.")
+            && part.get(8) == Some(&b' ')
+            && part.get(9..12).is_some_and(is_digits)
+    };
+    (0..value.len()).any(|start| is_line(&value.as_bytes()[start..]))
+}
+
 /// The request that is sent by all its attempts.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -370,6 +381,9 @@
         return AttemptOutcome::Unknown("the reply's status is no final one");
     }
     let reply_headers = process.protocol.read_reply(parts.status.as_u16(), &parts.headers);
+    if reply_headers.is_joined || parts.headers.values().any(has_status_line) {
+        return AttemptOutcome::Unknown("the reply has parts of more than one");
+    }
     if reply_headers.leaving {
         on_leaving(process, server, &reply_headers);
     }
--- a/crates/process/entry/src/protocol.rs
+++ b/crates/process/entry/src/protocol.rs
@@ -31,6 +31,8 @@
     pub request_id: Option<HeaderValue>,
     /// The stamp that proves which server made the reply.
     pub stamp: Option<HeaderValue>,
+    /// Whether the head has parts of more than one reply.
+    pub is_joined: bool,
     /// Whether the server certifies that it did not run the request.
     pub not_run: bool,
     /// Whether the address belongs to another server than the intended one.
