time: what others tell of the time before the start keeps its distances

Cause: a time could not lie before the start of the process, so all ends that other nodes tell a new process fell on its start, and counted as an outage.

Change: times are signed. The due time of a trial no longer begins at time zero, and withdrawals of the own interface are dated in the same way.

All tests of the crates of requests and versions pass but for the known red overloaded_shards_keep_their_goodput and scarce_server_completes_searches_in_time.

--- a/crates/process/entry/tests/limit_division.rs
+++ b/crates/process/entry/tests/limit_division.rs
@@ -223,7 +223,7 @@
         let named = self.table.limited().map(|(s, limit)| report(self.table.key(s), limit));
         let cold = self.table.cold(now).map(|(s, limit)| report(self.table.cold_key(s), limit));
         let limits = named.chain(cold).collect();
-        Heartbeat { limits, ..heartbeat(&self.peer, self.started.0) }
+        Heartbeat { limits, ..heartbeat(&self.peer, self.started.micros()) }
     }
 
     fn receive(&mut self, now: Time) {
--- a/crates/process/node/src/process/dump.rs
+++ b/crates/process/node/src/process/dump.rs
@@ -25,7 +25,7 @@
             "incarnation": process.incarnation.to_string(),
             "data_centre": settings.data_centre,
             "region": settings.region,
-            "up_ms": now.0 / 1000,
+            "up_ms": now.micros() / 1000,
             "fresh": process.is_synced(),
             "stopping": process.is_stopping(),
         },
--- a/crates/process/node/src/process/pause.rs
+++ b/crates/process/node/src/process/pause.rs
@@ -34,17 +34,17 @@
 impl PauseDetector {
     /// Records a tick.
     pub fn tick(&self, now: Time) {
-        let last = Time(self.last_tick.swap(now.0, Ordering::SeqCst));
+        let last = Time::from_micros(self.last_tick.swap(now.micros(), Ordering::SeqCst));
         if now.since(last) >= MIN_PAUSE {
-            self.resumed_at.store(now.0, Ordering::SeqCst);
+            self.resumed_at.store(now.micros(), Ordering::SeqCst);
             log::warn!(target: "node", "The process was paused for {:?}.", now.since(last));
         }
     }
 
     /// Whether a request that is read now may have waited through a pause.
     pub fn paused_recently(&self, now: Time) -> bool {
-        let last = Time(self.last_tick.load(Ordering::SeqCst));
-        let resumed = Time(self.resumed_at.load(Ordering::SeqCst));
+        let last = Time::from_micros(self.last_tick.load(Ordering::SeqCst));
+        let resumed = Time::from_micros(self.resumed_at.load(Ordering::SeqCst));
         now.since(last) >= MIN_PAUSE || (resumed > Time::ZERO && now.since(resumed) < SETTLE_TIME)
     }
 }
--- a/crates/process/peer/src/gossip.rs
+++ b/crates/process/peer/src/gossip.rs
@@ -149,7 +149,7 @@
         }
         // The age excludes the time in transit, so the computed first sighting is never
         // too early, and the earliest one is kept.
-        let first_seen = Time(now.0.saturating_sub(micros(age)));
+        let first_seen = now.before(age);
         let key = (withdrawal.server.clone(), withdrawal.incarnation);
         if let Some(known) = self.withdrawals.get_mut(&key) {
             *known = (*known).min(first_seen);
@@ -304,10 +304,6 @@
     chunks
 }
 
-fn micros(span: Duration) -> u64 {
-    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
-}
-
 fn withdrawal_of(key: &(Arc<str>, Incarnation), first_seen: Time, now: Time) -> Withdrawal {
     let age_ms = u64::try_from(now.since(first_seen).as_millis()).unwrap_or(u64::MAX);
     Withdrawal { server: key.0.clone(), incarnation: key.1, age_ms }
--- a/crates/process/share/tests/common_bucket.rs
+++ b/crates/process/share/tests/common_bucket.rs
@@ -86,13 +86,13 @@
     let is_long = matches!(case.fault, Fault::LongCut | Fault::LongFreeze);
     let end = Time::ZERO + RUN + if is_long { LONG_FAULT } else { Duration::ZERO };
     while net.now < end {
-        let second = net.now.0 / 1_000_000;
+        let second = net.now.micros() / 1_000_000;
         net.begin_step();
         if net.now == FAULT_AT {
             inject(case, &mut net, &mut random);
             rates.push((net.now, net.rate.per_second));
         }
-        if net.now.0 / 1_000_000 != second {
+        if net.now.micros() / 1_000_000 != second {
             home = random.random_range(0..case.serving);
         }
         let present = net.rate.per_second;
--- a/crates/request/gather/tests/search_fleet.rs
+++ b/crates/request/gather/tests/search_fleet.rs
@@ -286,14 +286,14 @@
             }
             Step::Proof { node, server, identities } => {
                 for identity in identities {
-                    let now = Time(self.now);
+                    let now = Time::from_micros(self.now);
                     let change = self.ledgers[node].server_ended(now, identity, server);
                     self.on_change(node, change);
                 }
             }
             Step::Deliver { node, message } => {
                 for notice in &self.messages[message] {
-                    self.ledgers[node].on_notice(Time(self.now), notice);
+                    self.ledgers[node].on_notice(Time::from_micros(self.now), notice);
                 }
                 if self.ledgers[node].take_cleared() {
                     self.on_change(node, Change::Cleared { was_blocked: true });
@@ -308,7 +308,7 @@
         let path = format!("{kind:?}");
         let parts = Parts { method: "GET", host: b"h", path: &path, caller: &[], body: b"" };
         let identity = Identity::new(&parts);
-        let now = Time(self.now);
+        let now = Time::from_micros(self.now);
         let is_trial = self.ledgers[node].standing(now, identity) == Standing::TrialDue;
         if is_trial {
             self.ledgers[node].begin_trial(now, identity);
@@ -346,25 +346,25 @@
         if search.is_trial {
             return Standing::Suspect;
         }
-        self.ledgers[search.node].standing(Time(self.now), search.identity)
+        self.ledgers[search.node].standing(Time::from_micros(self.now), search.identity)
     }
 
     fn handle(&mut self, index: usize, event: Event<()>) {
         let standing = self.standing(&self.searches[index]);
         let ledger = &self.ledgers[self.searches[index].node];
-        let has_recent_end = ledger.has_recent_end(Time(self.now));
+        let has_recent_end = ledger.has_recent_end(Time::from_micros(self.now));
         let (keys, rng) = (&self.keys, &mut self.rng);
         let mut balancer = Servers { keys, rng, standing, has_recent_end };
         let mut actions = Vec::new();
         let machine = &mut self.searches[index].machine;
-        machine.handle(Time(self.now), event, &mut balancer, &mut actions);
+        machine.handle(Time::from_micros(self.now), event, &mut balancer, &mut actions);
         for action in actions {
             match action {
                 Action::Send { attempt, selection, .. } => {
                     self.start_run(index, attempt, selection)
                 }
                 Action::Wake(at) => {
-                    let at = at.0.max(self.now);
+                    let at = at.micros().max(self.now);
                     self.searches[index].wake = at;
                     self.push(at, Step::Wake { search: index, at });
                 }
@@ -378,7 +378,7 @@
         search.is_trial = false;
         let ledger = &mut self.ledgers[search.node];
         let known = ledger.ends(search.identity);
-        let counts = ledger.run_begins(Time(self.now), search.identity);
+        let counts = ledger.run_begins(Time::from_micros(self.now), search.identity);
         let server = selection.server.as_u32() as usize;
         self.runs.push(Some(Run { search: index, attempt, server, known, counts }));
         let is_poison = matches!(search.kind, Kind::Poison(_));
@@ -406,7 +406,7 @@
         if counts {
             self.ledgers[node].run_ends(identity);
         }
-        let change = self.ledgers[node].answered(Time(self.now), identity);
+        let change = self.ledgers[node].answered(Time::from_micros(self.now), identity);
         self.on_change(node, change);
         self.handle(search, Event::Answered { attempt, reply: () });
     }
@@ -426,10 +426,16 @@
                 ledger.run_ends(search.identity);
             }
             if search.answered {
-                ledger.answered_broke_off(Time(self.now), search.identity, key);
+                ledger.answered_broke_off(Time::from_micros(self.now), search.identity, key);
             } else {
                 let shard = (server / REPLICAS) as u32;
-                ledger.leg_broke_off(Time(self.now), search.identity, key, shard, run.known);
+                ledger.leg_broke_off(
+                    Time::from_micros(self.now),
+                    search.identity,
+                    key,
+                    shard,
+                    run.known,
+                );
             }
             proofs[search.node].push(search.identity);
         }
@@ -468,7 +474,8 @@
 
     fn send(&mut self, from: usize) {
         let message = self.messages.len();
-        self.messages.push(self.ledgers[from].notices(Time(self.now), self.now / SECOND));
+        self.messages
+            .push(self.ledgers[from].notices(Time::from_micros(self.now), self.now / SECOND));
         for node in (0..self.scenario.nodes).filter(|node| *node != from) {
             if !self.rng.random_bool(LOSS) {
                 let delay = self.rng.random_range(MILLI..20 * MILLI);
--- a/crates/request/gather/tests/sim/mod.rs
+++ b/crates/request/gather/tests/sim/mod.rs
@@ -454,9 +454,10 @@
         if interval == 0 {
             return now;
         }
-        let offset = (now.0 + self.upstreams[server].pause_offset.as_micros() as u64) % interval;
+        let offset =
+            (now.micros() + self.upstreams[server].pause_offset.as_micros() as u64) % interval;
         let pause = self.scenario.pause.as_micros() as u64;
-        if offset < pause { Time(now.0 + pause - offset) } else { now }
+        if offset < pause { Time::from_micros(now.micros() + pause - offset) } else { now }
     }
 
     fn complete(&mut self, now: Time, server: usize, request: usize, attempt: u32) {
--- a/crates/request/once/tests/ticket_traps.rs
+++ b/crates/request/once/tests/ticket_traps.rs
@@ -173,7 +173,7 @@
 #[test]
 fn running_ticket_is_kept_until_after_its_deadline() {
     let (mut table, ticket) = table_with_ticket();
-    let before = Time(RETENTION.as_micros() as u64 - 1);
+    let before = Time::from_micros(RETENTION.as_micros() as u64 - 1);
     let deadline = before + RETENTION;
     assert_eq!(table.begin(ticket, FINGERPRINT, deadline, before), Disposition::Run);
     assert!(table.try_mark_sent(ticket, before));
--- a/crates/request/poison/src/record.rs
+++ b/crates/request/poison/src/record.rs
@@ -191,7 +191,7 @@
 
     /// When a node may try it again whose share of the spread of trials is `spread`, from 0 to 1.
     pub(crate) fn trial_due(&self, spread: f64) -> Time {
-        let last = self.last_end().max(self.trial_at.unwrap_or_default());
+        let last = self.trial_at.map_or(self.last_end(), |trial| trial.max(self.last_end()));
         if self.is_burst() {
             return last + BURST_BLOCK_TIME + BURST_TRIAL_SPREAD.mul_f64(spread);
         }
--- a/crates/request/poison/tests/fleet_model.rs
+++ b/crates/request/poison/tests/fleet_model.rs
@@ -238,17 +238,18 @@
             }
             Event::Proof { node, server, requests } => {
                 for request in requests {
-                    let change = self.ledgers[node].server_ended(Time(now), request, server);
+                    let change =
+                        self.ledgers[node].server_ended(Time::from_micros(now), request, server);
                     self.on_change(now, node, change);
                 }
             }
             Event::Deliver { node, message } => {
                 for notice in &self.messages[message] {
-                    self.ledgers[node].on_notice(Time(now), notice);
+                    self.ledgers[node].on_notice(Time::from_micros(now), notice);
                 }
             }
             Event::Beat { node } => {
-                if self.ledgers[node].is_fresh(Time(now)) {
+                if self.ledgers[node].is_fresh(Time::from_micros(now)) {
                     let targets = (0..BEAT_TARGETS.min(self.scenario.nodes))
                         .map(|offset| (node + 1 + offset * 7) % self.scenario.nodes);
                     self.send(now, node, targets.collect());
@@ -267,7 +268,7 @@
 
     fn on_arrival(&mut self, now: u64, kind: Kind, node: usize, attempts: u32) {
         let identity = identity(kind);
-        match self.ledgers[node].standing(Time(now), identity) {
+        match self.ledgers[node].standing(Time::from_micros(now), identity) {
             Standing::Held => {
                 return self.push(now + 15 * MILLI, Event::Arrive { kind, node, attempts });
             }
@@ -282,7 +283,7 @@
         }
         let server = up[self.rng.random_range(0..up.len())];
         let known = self.ledgers[node].ends(identity);
-        let counts = self.ledgers[node].run_begins(Time(now), identity);
+        let counts = self.ledgers[node].run_begins(Time::from_micros(now), identity);
         let run = self.runs.len();
         self.runs.push(Some(Run { kind, identity, node, known, counts, attempts: attempts + 1 }));
         self.by_server[server].push(run);
@@ -310,7 +311,7 @@
             self.ledgers[ended.node].run_ends(ended.identity);
         }
         self.by_server[server].retain(|other| *other != run);
-        let change = self.ledgers[ended.node].answered(Time(now), ended.identity);
+        let change = self.ledgers[ended.node].answered(Time::from_micros(now), ended.identity);
         self.on_change(now, ended.node, change);
         self.ended(ended.kind, |summary| &mut summary.served);
     }
@@ -324,7 +325,13 @@
             if run.counts {
                 self.ledgers[run.node].run_ends(run.identity);
             }
-            self.ledgers[run.node].leg_broke_off(Time(now), run.identity, key, 0, run.known);
+            self.ledgers[run.node].leg_broke_off(
+                Time::from_micros(now),
+                run.identity,
+                key,
+                0,
+                run.known,
+            );
             proofs[run.node].push(run.identity);
             let Run { kind, node, attempts, .. } = run;
             self.push(now + MILLI, Event::Arrive { kind, node, attempts });
@@ -343,7 +350,7 @@
 
     fn send(&mut self, now: u64, from: usize, targets: Vec<usize>) {
         let message = self.messages.len();
-        self.messages.push(self.ledgers[from].notices(Time(now), now / BEAT));
+        self.messages.push(self.ledgers[from].notices(Time::from_micros(now), now / BEAT));
         for node in targets {
             if node != from && !self.rng.random_bool(self.scenario.loss) {
                 let delay = self.rng.random_range(MILLI..20 * MILLI);
--- a/crates/request/query/src/attempt.rs
+++ b/crates/request/query/src/attempt.rs
@@ -151,7 +151,7 @@
             server,
             shard: state.shard,
             snapshot: self.plan.candidates[self.candidate].snapshot.clone(),
-            deadline: Time(self.plan.deadline.0 - self.network_time(now)),
+            deadline: Time::from_micros(self.plan.deadline.micros() - self.network_time(now)),
         });
         self.schedule_hedge(now, index, server, context);
     }
--- a/crates/request/query/src/budget.rs
+++ b/crates/request/query/src/budget.rs
@@ -54,7 +54,7 @@
     }
 
     fn refill(&self, now: Time) {
-        let window = now.0 / WINDOW_MICROS;
+        let window = now.micros() / WINDOW_MICROS;
         let last = self.window.load(Ordering::Relaxed);
         let window_changed = last < window
             && self
--- a/crates/request/query/src/read.rs
+++ b/crates/request/query/src/read.rs
@@ -232,7 +232,7 @@
     let word = word.strip_suffix("ms")?;
     let (whole, part) = word.split_once('.').unwrap_or((word, "0"));
     let (whole, part): (u64, u64) = (whole.parse().ok()?, format!("{part:0<3}").parse().ok()?);
-    (part < 1000).then(|| Time(whole.saturating_mul(1000).saturating_add(part)))
+    (part < 1000).then(|| Time::from_micros(whole.saturating_mul(1000).saturating_add(part)))
 }
 
 fn duration(word: &str) -> Option<Duration> {
--- a/crates/version/replica/src/budget.rs
+++ b/crates/version/replica/src/budget.rs
@@ -130,7 +130,7 @@
     /// The number of the bucket at `now`, counted from time zero.
     fn bucket_number(&self, now: Time) -> u64 {
         let span = (self.settings.window.as_micros() as u64 / BUCKETS_PER_WINDOW as u64).max(1);
-        now.0 / span
+        now.micros() / span
     }
 
     fn window(&mut self, now: Time, service: Service) -> &mut Window {
--- a/crates/version/replica/tests/extra_budget.rs
+++ b/crates/version/replica/tests/extra_budget.rs
@@ -28,7 +28,7 @@
         let mut budget = Budget::new(SETTINGS);
         budget.set_share(Time::ZERO, 1.0 / f64::from(nodes));
         for number in 0..rate * seconds {
-            let at = Time(number * 1_000_000 / rate);
+            let at = Time::from_micros(number * 1_000_000 / rate);
             budget.first_send(at, service());
             sends.push(Send { at, extra: false });
             let tries = if at >= Time::from_millis(from * 1000) { 2 } else { 0 };
--- a/crates/version/route/examples/cost.rs
+++ b/crates/version/route/examples/cost.rs
@@ -100,7 +100,7 @@
     let mut table = table(groups);
     let (requested, report) = (snapshot(), Report { load: Some(1), ..Report::default() });
     let shard = |round: u32| Shard::from_u32(round % groups);
-    let now = |round: u32| Time(u64::from(round) * 10);
+    let now = |round: u32| Time::from_micros(u64::from(round) * 10);
     let began = Instant::now();
     for round in 0..ROUNDS {
         let picked = table.pick(now(round), Choice::LeastOfTwo, &requested, shard(round), &[]);
