front: a caller that pauses while it reads keeps its connection

Cause: TCP_USER_TIMEOUT of 1.5 s on callers' connections, which Linux applies to live peers with a full window, too.

What a peer has not taken of its answer is entered in the ledger as a part of the buffers.

--- a/crates/process/entry/src/front.rs
+++ b/crates/process/entry/src/front.rs
@@ -42,7 +42,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let configured =
-                    stream.set_nodelay(true).and_then(|()| upstream::detect_dead_peer(&stream));
+                    stream.set_nodelay(true).and_then(|()| upstream::probe_idle_peer(&stream));
                 if let Err(error) = configured {
                     log::debug!(target: "front", "Socket options were not set: {error}.");
                 }
@@ -72,7 +72,7 @@
         async move {
             connection.begin(process.clock.now());
             let mut answer = serve::handle(Rc::clone(&process), request, &connection).await;
-            connection.answered(process.clock.now());
+            connection.answered(process.clock.now(), listener::body_bytes(&answer));
             if process.leaving.get() || !process.has_path() {
                 answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/process/entry/src/inbound.rs
+++ b/crates/process/entry/src/inbound.rs
@@ -1,8 +1,8 @@
 //! What callers, nodes and operators make this node hold: their connections, with the read buffers of
-//! these, and the bodies of their requests. No I/O.
+//! these and the answers that are not sent yet, and the bodies of their requests. No I/O.
 //!
 //! Invariants: each listener has descriptors of its own, so that a crowd at one takes none from the
-//! others. All read buffers and all bodies together stay within their parts of the memory. What
+//! others. All buffers and all bodies together stay within their parts of the memory. What
 //! runs is never given up. If room is short, connections that have brought no request yet are given
 //! up first, the one without progress for the longest time before others; then those that are
 //! idle, but none that was in use a moment ago. Of the bodies, one that makes no progress is given up
@@ -24,7 +24,7 @@
 const OWN_DESCRIPTORS: usize = 64;
 /// The part of the descriptors that callers have at least, as a divisor.
 const MIN_CALLERS_DIVISOR: usize = 4;
-/// The fraction of the memory that read buffers may use.
+/// The fraction of the memory that read buffers and unsent answers may use.
 const BUFFER_FRACTION: f64 = 0.25;
 /// The fraction of the memory that the bodies of requests may use.
 const BODY_FRACTION: f64 = 0.15;
@@ -40,6 +40,10 @@
 /// How long a connection that has brought requests is kept after the last one, and how long a body
 /// may make no progress.
 const MIN_IDLE: Duration = Duration::from_secs(1);
+/// How long a peer waits for the answer to a request that doesn't say so.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
+/// The longest time without progress in which the rest of an answer is kept.
+pub const MAX_PATIENCE: Duration = Duration::from_secs(60);
 /// The shortest interval between log lines on what was given up.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -91,7 +95,7 @@
 pub struct Limits {
     /// The descriptors that it uses in all.
     pub descriptors: usize,
-    /// The bytes of all read buffers.
+    /// The bytes of all read buffers and unsent answers.
     pub buffers: usize,
     /// The bytes of all bodies.
     pub bodies: usize,
@@ -168,6 +172,8 @@
     max_buffer: usize,
     /// The memory that counts for it.
     buffer: usize,
+    /// The bytes of its answer that the peer has not taken.
+    unsent: usize,
     /// The memory of its request's body that counts.
     body: Rc<Cell<usize>>,
     /// Given when the connection is given up.
@@ -240,13 +246,15 @@
             received: 0,
             max_buffer,
             buffer: CONNECTION_BYTES,
+            unsent: 0,
             body: Rc::default(),
             ended: Rc::default(),
             body_ended: Rc::default(),
         };
         let (ended, body_ended) = (Rc::clone(&record.ended), Rc::clone(&record.body_ended));
         state.records.insert(id, record);
-        Some(Connection { ledger: Rc::clone(self), id, ended, body_ended })
+        let patience = Cell::new(DEFAULT_PATIENCE);
+        Some(Connection { ledger: Rc::clone(self), id, ended, body_ended, patience })
     }
 
     /// The use of a listener's connections.
@@ -254,7 +262,7 @@
         self.state.borrow().connections[listener as usize]
     }
 
-    /// The bytes of all read buffers.
+    /// The bytes of all read buffers and unsent answers.
     pub fn buffers(&self) -> usize {
         self.state.borrow().buffers
     }
@@ -318,7 +326,7 @@
     fn remove(&mut self, id: u64) -> Option<Record> {
         let record = self.records.remove(&id)?;
         self.connections[record.listener as usize].held -= 1;
-        self.buffers -= record.buffer;
+        self.buffers -= record.buffer + record.unsent;
         self.bodies -= record.body.replace(0);
         Some(record)
     }
@@ -331,6 +339,7 @@
     id: u64,
     ended: Rc<Signal>,
     body_ended: Rc<Signal>,
+    patience: Cell<Duration>,
 }
 
 impl Drop for Connection {
@@ -355,6 +364,16 @@
         self.body_ended.wait().await;
     }
 
+    /// How long the caller of its request waits.
+    pub fn patience(&self) -> Duration {
+        self.patience.get()
+    }
+
+    /// Records how long the caller of its request waits; longer than [`MAX_PATIENCE`] counts as that.
+    pub fn set_patience(&self, patience: Duration) {
+        self.patience.set(patience.min(MAX_PATIENCE));
+    }
+
     /// Records that bytes arrived. Another connection, or this one, is given up if there is no
     /// room for its larger read buffer.
     pub fn received(&self, now: Time, bytes: usize) {
@@ -368,6 +387,12 @@
         let (growth, listener) = (record.max_buffer, record.listener);
         record.buffer += growth;
         state.buffers += growth;
+        self.make_room(&mut state, now, listener);
+    }
+
+    /// Gives up connections of its listener, at last this one, until the buffers are within their
+    /// limit.
+    fn make_room(&self, state: &mut State, now: Time, listener: Listener) {
         while state.buffers > self.ledger.limits.buffers {
             state.connections[listener as usize].refused += 1;
             let id = state.least_useful(now, listener, Some(self.id)).unwrap_or(self.id);
@@ -378,9 +403,14 @@
         }
     }
 
-    /// Records that the peer took a part of an answer.
-    pub fn sent(&self, now: Time) {
-        self.update(|record| record.progressed_at = now);
+    /// Records that the peer took `bytes` of an answer.
+    pub fn sent(&self, now: Time, bytes: usize) {
+        let mut state = self.ledger.state.borrow_mut();
+        let Some(record) = state.records.get_mut(&self.id) else { return };
+        record.progressed_at = now;
+        let taken = record.unsent.min(bytes);
+        record.unsent -= taken;
+        state.buffers -= taken;
     }
 
     /// Records that the head of a request has arrived.
@@ -399,13 +429,18 @@
         });
     }
 
-    /// Records that a request is answered.
-    pub fn answered(&self, now: Time) {
-        self.update(|record| {
-            record.phase = Phase::Head;
-            record.received = 0;
-            record.progressed_at = now;
-        });
+    /// Records that a request is answered with a body of `bytes`, which is sent now. Another
+    /// connection, or this one, is given up if there is no room for it.
+    pub fn answered(&self, now: Time, bytes: usize) {
+        let mut state = self.ledger.state.borrow_mut();
+        let Some(record) = state.records.get_mut(&self.id) else { return };
+        record.phase = Phase::Head;
+        record.received = 0;
+        record.progressed_at = now;
+        record.unsent += bytes;
+        let listener = record.listener;
+        state.buffers += bytes;
+        self.make_room(&mut state, now, listener);
     }
 
     /// The memory of the body of its request, which holds nothing yet.
--- a/crates/process/entry/src/listener.rs
+++ b/crates/process/entry/src/listener.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use hyper::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -85,6 +86,11 @@
     Some((metered::Stream::new(stream, Rc::clone(&connection), process.clock), connection))
 }
 
+/// The size of an answer's body, in bytes.
+pub(crate) fn body_bytes(answer: &Answer) -> usize {
+    answer.body().size_hint().exact().unwrap_or_default() as usize
+}
+
 /// Accepts connections and answers each request by `answer`.
 pub(crate) async fn accept<A, F>(
     process: Rc<Process>,
@@ -111,7 +117,7 @@
             async move {
                 connection.begin(process.clock.now());
                 let answer = answer(Rc::clone(&process), request, Rc::clone(&connection)).await;
-                connection.answered(process.clock.now());
+                connection.answered(process.clock.now(), body_bytes(&answer));
                 Ok::<_, Infallible>(answer)
             }
         });
--- a/crates/process/entry/src/serve.rs
+++ b/crates/process/entry/src/serve.rs
@@ -108,6 +108,7 @@
     let _active = ActiveRequest::new(&process);
     let request_headers = process.protocol.read_request(request.headers());
     let caller_timeout = request_headers.timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+    connection.set_patience(caller_timeout);
     let router = process.router.borrow().clone();
     let read_result = match router {
         Some(_) if process.stop.is_too_late(arrived) => Err(Rejection::Stopping.into()),
--- a/crates/process/entry/src/upstream.rs
+++ b/crates/process/entry/src/upstream.rs
@@ -649,12 +649,17 @@
 
 /// Sets socket options by which the operating system closes a connection whose peer no
 /// longer responds.
-pub(crate) fn detect_dead_peer(stream: &TcpStream) -> std::io::Result<()> {
-    let socket = socket2::SockRef::from(stream);
+fn detect_dead_peer(stream: &TcpStream) -> std::io::Result<()> {
+    probe_idle_peer(stream)?;
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+}
+
+/// Like [`detect_dead_peer`], for a peer that may take no data for a while: only an idle connection
+/// is probed.
+pub(crate) fn probe_idle_peer(stream: &TcpStream) -> std::io::Result<()> {
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(MAX_KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    socket2::SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
--- a/crates/process/entry/tests/inbound_ledger.rs
+++ b/crates/process/entry/tests/inbound_ledger.rs
@@ -68,7 +68,8 @@
             } else {
                 let index = rng.random_range(0..peers.len());
                 let peer = &mut peers[index];
-                match rng.random_range(0..6) {
+                match rng.random_range(0..7) {
+                    6 => peer.connection.sent(now, rng.random_range(1..50_000)),
                     0 => peer.connection.received(now, rng.random_range(1..20_000)),
                     1 if !peer.is_running => {
                         peer.connection.begin(now);
@@ -86,7 +87,7 @@
                         peer.is_running = true;
                     }
                     4 if peer.is_running => {
-                        peer.connection.answered(now);
+                        peer.connection.answered(now, rng.random_range(0..100_000));
                         peer.body = None;
                         peer.is_running = false;
                     }
@@ -124,7 +125,7 @@
     let connection = open(ledger, ms);
     connection.begin(at(ms));
     connection.run();
-    connection.answered(at(ms));
+    connection.answered(at(ms), 0);
     connection
 }
 
@@ -181,6 +182,25 @@
     assert!(has_lost_body(&large.0) && !has_lost_body(&small.0));
 }
 
+/// Guards against answers that callers don't read and that take all memory.
+#[test]
+fn unsent_answers_count_until_they_are_taken() {
+    let ledger = ledger(Limits { descriptors: 1000, buffers: 200 << 10, bodies: 0 });
+    let answer = |ms: u64| {
+        let connection = open(&ledger, ms);
+        connection.begin(at(ms));
+        connection.run();
+        connection.answered(at(ms), 80 << 10);
+        connection
+    };
+    let (deaf, reading) = (answer(0), answer(100));
+    reading.sent(at(1900), 80 << 10);
+    assert_eq!(ledger.buffers(), (2 * 12 + 80) << 10);
+    let third = answer(2000);
+    let fourth = answer(2000);
+    assert!(is_ended(&deaf) && ![&reading, &third, &fourth].into_iter().any(is_ended));
+}
+
 /// Guards against a body within the limits of the configuration that is refused in calm.
 #[test]
 fn single_body_may_have_any_size() {
