inbound: a body that was given up doesn't end the next one on its connection

Found by reading. What callers may see: after one request was refused for lack of memory, further ones on the same connection are refused too, if the connection outlived the first refusal. They have not run, as they are told.

Cause: the signal belongs to the connection and was never taken back.

Test: next_body_on_a_connection_is_not_given_up_with_the_last_one, red before; all of inbound_ledger passes.

--- a/crates/process/entry/src/inbound.rs
+++ b/crates/process/entry/src/inbound.rs
@@ -138,7 +138,7 @@
     Running,
 }
 
-/// A signal that is given once.
+/// A signal that lasts once it is given.
 #[derive(Debug, Default)]
 struct Signal {
     is_given: Cell<bool>,
@@ -445,6 +445,7 @@
 
     /// The memory of the body of its request, which holds nothing yet.
     pub fn body(&self) -> Body {
+        self.body_ended.is_given.set(false);
         let counted = Rc::new(Cell::new(0));
         self.update(|record| record.body = Rc::clone(&counted));
         Body { ledger: Rc::clone(&self.ledger), id: self.id, counted }
--- a/crates/process/entry/tests/inbound_ledger.rs
+++ b/crates/process/entry/tests/inbound_ledger.rs
@@ -182,6 +182,22 @@
     assert!(has_lost_body(&large.0) && !has_lost_body(&small.0));
 }
 
+/// Guards against a body that was given up and whose connection refuses all later requests.
+#[test]
+fn next_body_on_a_connection_is_not_given_up_with_the_last_one() {
+    let ledger = ledger(Limits { descriptors: 1000, buffers: usize::MAX, bodies: 20 << 10 });
+    let (connection, other) = (open(&ledger, 0), open(&ledger, 0));
+    [&connection, &other].into_iter().for_each(|connection| connection.begin(at(0)));
+    let (mut lost, mut kept) = (connection.body(), other.body());
+    assert!(lost.grow(at(0), 15 << 10) && kept.grow(at(0), 10 << 10));
+    assert!(has_lost_body(&connection));
+    drop((lost, kept));
+    connection.answered(at(10), 0);
+    connection.begin(at(20));
+    let _next = connection.body();
+    assert!(!has_lost_body(&connection));
+}
+
 /// Guards against answers that callers don't read and that take all memory.
 #[test]
 fn unsent_answers_count_until_they_are_taken() {
