--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -8,7 +8,6 @@
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
-use std::io::Read as _;
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
@@ -390,6 +389,8 @@
     body: Arc<Vec<u8>>,
     stamps: Arc<AtomicU64>,
     behavior: Option<Behavior>,
+    /// Whether it takes requests that are addressed to another server.
+    takes_any: bool,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     has_ended: Arc<AtomicBool>,
 }
@@ -407,6 +408,22 @@
         work: Duration,
         body: &[u8],
         behavior: Option<Behavior>,
+    ) -> Self {
+        Self::launch(id, address, work, body, behavior, false)
+    }
+
+    /// Starts a program that is no server of the platform; `behavior` answers all its requests.
+    pub fn start_foreign(id: &str, address: &str, behavior: Behavior) -> Self {
+        Self::launch(id, address, Duration::ZERO, b"", Some(behavior), true)
+    }
+
+    fn launch(
+        id: &str,
+        address: &str,
+        work: Duration,
+        body: &[u8],
+        behavior: Option<Behavior>,
+        takes_any: bool,
     ) -> Self {
         let listener = TcpListener::bind(address).expect("a server's address");
         let server = Self {
@@ -417,6 +434,7 @@
             body: Arc::new(body.to_vec()),
             stamps: Arc::default(),
             behavior,
+            takes_any,
             streams: Arc::default(),
             has_ended: Arc::default(),
         };
@@ -449,7 +467,7 @@
         while let Some(request) = read_message(&mut reader)? {
             let id = request.header("heatherseam-request-id").unwrap_or("").to_owned();
             let expected = request.header("heatherseam-expect-instance");
-            if expected.is_some_and(|expected| expected != self.id) {
+            if !self.takes_any && expected.is_some_and(|expected| expected != self.id) {
                 let answer = format!(
                     "HTTP/1.1 421 Misdirected Request\r\nHeatherseam-Request-Id: {id}\r\n\
                      Heatherseam-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
