--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -717,15 +717,32 @@
         path: &str,
         body: &[u8],
         deadline_ms: u64,
+    ) -> Call {
+        self.call_with(method, host, path, body, deadline_ms, 0)
+    }
+
+    /// Like [`Self::call`], with a header of `padding` bytes.
+    pub fn call_with(
+        &mut self,
+        method: &str,
+        host: &str,
+        path: &str,
+        body: &[u8],
+        deadline_ms: u64,
+        padding: usize,
     ) -> Call {
         let id = new_id();
+        let padding = match padding {
+            0 => String::new(),
+            bytes => format!("X-Context: {}\r\n", "c".repeat(bytes)),
+        };
         let length = match body.len() {
             0 => String::new(),
             length => format!("Content-Length: {length}\r\n"),
         };
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: {host}\r\nHeatherseam-Request-Id: {id}\r\n\
-             Heatherseam-Deadline-Ms: {deadline_ms}\r\n{length}\r\n"
+             Heatherseam-Deadline-Ms: {deadline_ms}\r\n{padding}{length}\r\n"
         );
         let sent = Instant::now();
         let answer = self.exchange(&[head.as_bytes(), body].concat(), deadline_ms).ok().flatten();
