Review: the servers of the scripts close their connections when they end them

The case: a server that ends an exchange kept its connection open, since a clone of the stream was held.

--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -440,7 +440,9 @@
         };
         let handler = server.clone();
         accept(listener, move |stream| {
+            let connection = stream.try_clone();
             let _ = handler.serve(stream);
+            connection.iter().for_each(close);
         });
         server
     }
