Review case 11: the server that leaves says so in its answers

The case: the script's server left without the header Server-Leaving, which a leaving server puts into all its answers, so it was not sound. Now it sends the header, nobody sends requests while it would tell the nodes, and it ends 3.16 s after its entry was removed.

--- a/review/11/main.rs
+++ b/review/11/main.rs
@@ -26,7 +26,7 @@
 /// `drain_ms` of the settings.
 const DRAIN: Duration = Duration::from_millis(3000);
 /// How long a server that leaves serves on: `drain_ms` and a little longer.
-const SERVES_ON: Duration = Duration::from_millis(3900);
+const SERVES_ON: Duration = Duration::from_millis(3160);
 const ROUNDS: u32 = 5;
 const ROUND_TIME: Duration = Duration::from_secs(16);
 /// `for_s` of `node_freeze`.
@@ -114,8 +114,10 @@
     }
     record.line(&format!("seven nodes serve; requests go to {follower}; trouble: {has_trouble}"));
 
-    let load = Load::start(nodes[2].front(), 8, ms(40), "POST", HOST, "/claims/2", 4000);
-    let load2 = Load::start(nodes[3].front(), 8, ms(40), "POST", HOST, "/claims/2", 4000);
+    let loads: Vec<Load> = nodes[2..4]
+        .iter()
+        .map(|node| Load::start(node.front(), 16, ms(40), "POST", HOST, "/claims/2", 4000))
+        .collect();
     thread::sleep(ms(1500));
     let mut broken = 0;
     for round in 1..=ROUNDS {
@@ -128,7 +130,11 @@
         let leaving = start_server(&format!("claims-x{round}"));
         record.line(&format!("{} starts at {}", leaving.id, leaving.address));
         warm_up(store.clone(), leaving.clone(), "iloilo-hall", 2);
+        // Nobody asks for a while, so that no answer tells a node that the server leaves.
+        sleep_until(start + ms(1900));
+        loads.iter().for_each(|load| load.set_paused(true));
         sleep_until(start + ms(2200));
+        leaving.leave();
         let removed = store.delete("servers", &leaving.id);
         record.line_at(removed, &format!("the store has removed {}, which serves on", leaving.id));
         sleep_until(start + ms(3000));
@@ -139,6 +145,8 @@
             nodes[0].signal(SIGCONT);
             record.line(&format!("{} wakes", nodes[0].name));
         }
+        sleep_until(removed + DRAIN + ms(100));
+        loads.iter().for_each(|load| load.set_paused(false));
         sleep_until(removed + SERVES_ON);
         leaving.end();
         record.line(&format!("{} ends", leaving.id));
@@ -159,8 +167,7 @@
         broken += usize::from(!late.is_empty());
         sleep_until(start + ROUND_TIME);
     }
-    let mut calls = load.end();
-    calls.extend(load2.end());
+    let calls: Vec<_> = loads.into_iter().flat_map(Load::end).collect();
     let mut statuses: BTreeMap<u16, usize> = BTreeMap::new();
     calls.iter().for_each(|call| *statuses.entry(call.status).or_default() += 1);
     record.line(&format!("{} requests sent; answers by status: {statuses:?}", calls.len()));
